--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+VENV ?= .venv
+PYTHON = $(VENV)/bin/python
+SOURCES = anvilthread standins demo benchmarks examples tests
+
+.PHONY: setup test lint format types demo bench binary
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements-dev.lock
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --require-hashes -r requirements-dev.lock
+	touch $(VENV)/.installed
+
+test: setup
+	$(PYTHON) -m pytest
+
+lint: setup
+	$(PYTHON) -m ruff format --check $(SOURCES)
+	$(PYTHON) -m flake8 $(SOURCES)
+
+format: setup
+	$(PYTHON) -m ruff format $(SOURCES)
+
+types: setup
+	$(PYTHON) -m mypy
+
+demo: setup
+	$(PYTHON) -m demo
+
+bench: setup
+	$(PYTHON) -m benchmarks
+
+binary: setup
+	$(PYTHON) -m demo.binary
--- /dev/null
+++ b/anvilthread/clock/__init__.py
@@ -0,0 +1,7 @@
+"""Time in milliseconds, real or driven by hand."""
+
+from anvilthread.clock.clock import Clock
+from anvilthread.clock.manual_clock import ManualClock
+from anvilthread.clock.system_clock import SystemClock
+
+__all__ = ('Clock', 'ManualClock', 'SystemClock')
--- /dev/null
+++ b/anvilthread/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which agent a packet belongs to."""
--- /dev/null
+++ b/anvilthread/routing/encapsulation_codec.py
@@ -0,0 +1,123 @@
+"""Wire form of encapsulated datagrams."""
+
+import hashlib
+import struct
+from typing import Final
+
+from anvilthread.address import Address
+from anvilthread.error import AnvilthreadError
+from anvilthread.routing.datagram_kind import DatagramKind
+from anvilthread.routing.encapsulated import Encapsulated
+
+#: Version, kind, service, client, balancer, alternate, hops.
+_HEADER: Final = struct.Struct('!BBH6s6s6sB')
+_VERSION: Final = 1
+_TAG_SIZE: Final = 8
+_NO_ALTERNATE: Final = bytes(Address.packed_size)
+_KINDS: Final = {int(kind): kind for kind in DatagramKind}
+
+#: Smallest and largest key of the tag in bytes.
+TAG_KEY_SIZES: Final = range(16, hashlib.blake2b.MAX_KEY_SIZE + 1)
+
+#: Bytes that encapsulation adds to a packet.
+OVERHEAD_SIZE: Final = _HEADER.size + _TAG_SIZE
+
+
+class EncapsulationKeyError(AnvilthreadError):
+    """The datagram keys of the settings cannot be used."""
+
+
+class EncapsulationCodec:
+    """Writes and checks encapsulated datagrams.
+
+    Args:
+        keys: Keys of the tag, the current one first. The others are accepted
+            while a rotation is under way.
+
+    Raises:
+        EncapsulationKeyError: If there is no key or a key is too short.
+    """
+
+    __slots__ = ('_accepted', '_current')
+
+    def __init__(self, *, keys: tuple[bytes, ...]) -> None:
+        if not keys or any(len(key) not in TAG_KEY_SIZES for key in keys):
+            raise EncapsulationKeyError(
+                reason='a datagram key is missing or has a wrong length',
+                remedy='give at least one key of 16 to 64 bytes',
+            )
+        # Copying a keyed state is cheaper than hashing the key per datagram.
+        states = [
+            hashlib.blake2b(key=key, digest_size=_TAG_SIZE) for key in keys
+        ]
+        self._current = states[0]
+        self._accepted = states
+
+    def encode(self, datagram: Encapsulated) -> bytes:
+        """Returns the tag, the header and the payload."""
+        return self.encode_raw(
+            kind=datagram.kind,
+            service=datagram.service,
+            client=datagram.client.pack(),
+            balancer=datagram.balancer.pack(),
+            payload=datagram.payload,
+            alternate=_pack_optional(datagram.alternate),
+            hops=datagram.hops,
+        )
+
+    def encode_raw(
+        self,
+        *,
+        kind: int,
+        service: int,
+        client: bytes,
+        balancer: bytes,
+        payload: bytes,
+        alternate: bytes = _NO_ALTERNATE,
+        hops: int = 0,
+    ) -> bytes:
+        """Encodes from packed addresses, for the forwarding path."""
+        header = _HEADER.pack(
+            _VERSION, kind, service, client, balancer, alternate, hops
+        )
+        state = self._current.copy()
+        state.update(header)
+        state.update(payload)
+        return b''.join((state.digest(), header, payload))
+
+    def decode(self, wire: bytes) -> Encapsulated | None:
+        """Returns the datagram, or None if it is malformed or forged."""
+        if len(wire) < OVERHEAD_SIZE or not self._is_authentic(wire):
+            return None
+        version, kind, service, client, balancer, alternate, hops = (
+            _HEADER.unpack_from(wire, _TAG_SIZE)
+        )
+        if version != _VERSION or kind not in _KINDS:
+            return None
+        return Encapsulated(
+            kind=_KINDS[kind],
+            service=service,
+            client=Address.unpack(client),
+            balancer=Address.unpack(balancer),
+            payload=wire[OVERHEAD_SIZE:],
+            alternate=_unpack_optional(alternate),
+            hops=hops,
+        )
+
+    def _is_authentic(self, wire: bytes) -> bool:
+        tag = wire[:_TAG_SIZE]
+        body = memoryview(wire)[_TAG_SIZE:]
+        for keyed in self._accepted:
+            state = keyed.copy()
+            state.update(body)
+            if state.digest() == tag:
+                return True
+        return False
+
+
+def _pack_optional(address: Address | None) -> bytes:
+    return _NO_ALTERNATE if address is None else address.pack()
+
+
+def _unpack_optional(packed: bytes) -> Address | None:
+    return None if packed == _NO_ALTERNATE else Address.unpack(packed)
--- /dev/null
+++ b/anvilthread/transport/transport.py
@@ -0,0 +1,27 @@
+"""The interface through which components exchange messages."""
+
+from typing import Protocol
+
+from anvilthread.address import Address
+from anvilthread.transport.received import Received
+
+
+class Transport(Protocol):
+    """Unreliable, unordered exchange of whole messages between nodes.
+
+    Messages may be lost, delayed, duplicated and reordered; a message that
+    arrives is intact and comes from a holder of the cluster's keys.
+    """
+
+    @property
+    def address(self) -> Address:
+        """Address at which this node receives."""
+
+    def send(self, address: Address, payload: bytes) -> None:
+        """Sends without blocking; a message that cannot be sent is lost."""
+
+    def receive(self) -> Received:
+        """Blocks the calling task until a message arrives."""
+
+    def close(self) -> None:
+        """Releases the sockets; tasks blocked in receive do not resume."""
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; every speed is a ratio within one run."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""Demonstration of the whole path as separate processes."""
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Small runnable examples of the embeddable components."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, used by tests, benchmarks and the demo."""
