Add the data path of balancer and agent

Connection IDs carry service, agent and incarnation in one AES block, so a balancer forwards packets of established connections without state. The agent terminates QUIC with aioquic and its own connection IDs.

--- /dev/null
+++ b/anvilthread/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent daemon."""
--- /dev/null
+++ b/anvilthread/agent/balancers.py
@@ -0,0 +1,16 @@
+"""What an agent needs to know about balancers."""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from anvilthread.address import Address
+
+
+class Balancers(Protocol):
+    """The balancers that can carry answers to clients."""
+
+    def live_balancers(self) -> Sequence[Address]:
+        """Data addresses of the balancers believed to be alive."""
+
+    def is_gone(self, balancer: Address) -> bool:
+        """Tells whether a balancer is known to be dead or to have left."""
--- /dev/null
+++ b/anvilthread/agent/body.py
@@ -0,0 +1,45 @@
+"""The body of a request while it arrives."""
+
+from typing import Final
+
+from gevent.queue import Queue
+
+#: Largest request body in bytes. aioquic extends the client's flow-control
+#: window as soon as data arrives, so the size has to be bounded here.
+MAX_BODY_SIZE: Final = 1 << 20
+
+
+class Body:
+    """Queue of body chunks between the connection task and a request task."""
+
+    __slots__ = ('_chunks', '_ended', '_size')
+
+    def __init__(self) -> None:
+        self._chunks: Queue[bytes | None] = Queue()
+        self._size = 0
+        self._ended = False
+
+    @property
+    def is_too_large(self) -> bool:
+        """Whether more than the largest body has arrived."""
+        return self._size > MAX_BODY_SIZE
+
+    def feed(self, chunk: bytes) -> None:
+        """Adds data that arrived from the client."""
+        self._size += len(chunk)
+        if not self.is_too_large:
+            self._chunks.put(chunk)
+
+    def end(self) -> None:
+        """Marks the end; reading more then returns empty bytes."""
+        if not self._ended:
+            self._ended = True
+            self._chunks.put(None)
+
+    def read(self) -> bytes:
+        """Blocks for the next chunk; returns empty bytes at the end."""
+        chunk = self._chunks.get()
+        if chunk is None:
+            self._chunks.put(None)
+            return b''
+        return chunk
--- /dev/null
+++ b/anvilthread/agent/packet_server.py
@@ -0,0 +1,265 @@
+"""The agent's side of the data path."""
+
+from collections.abc import Callable
+from functools import partial
+from typing import Final
+
+import gevent
+from aioquic.quic.configuration import QuicConfiguration
+
+from anvilthread.address import Address
+from anvilthread.agent.answer_path import AnswerPath
+from anvilthread.agent.balancers import Balancers
+from anvilthread.agent.client_connection import ClientConnection
+from anvilthread.agent.connection_admission import ConnectionAdmission
+from anvilthread.agent.connection_id_issuer import ConnectionIdIssuer
+from anvilthread.agent.connection_table import ConnectionTable
+from anvilthread.agent.routable_quic import RoutableQuic
+from anvilthread.agent.stream_handler import StreamHandler
+from anvilthread.clock import Clock
+from anvilthread.routing.connection_id_codec import CONNECTION_ID_SIZE
+from anvilthread.routing.datagram_kind import DatagramKind
+from anvilthread.routing.encapsulated import Encapsulated
+from anvilthread.routing.encapsulation_codec import EncapsulationCodec
+from anvilthread.routing.packet_counters import PacketCounters
+from anvilthread.routing.packet_fate import PacketFate
+from anvilthread.routing.quic_header import (
+    destination_id,
+    has_long_header,
+    is_initial,
+)
+from anvilthread.routing.stateless_reset import stateless_reset
+from anvilthread.transport.udp_socket import bind_udp, receive_all
+
+#: Half-open connections beyond this number are refused, so that a flood of
+#: first packets cannot exhaust the memory of a small VM.
+_MAX_HALF_OPEN: Final = 4096
+
+#: A first packet is passed on once at most, so that two agents over their
+#: bound cannot send it back and forth.
+_MAX_HOPS: Final = 1
+
+SendAnswer = Callable[[ClientConnection, bytes, Address], None]
+
+
+class PacketServer:
+    """Receives encapsulated packets and keeps the QUIC connections.
+
+    Args:
+        clock: Source of time.
+        address: Data address of this agent.
+        services: Numbers of the services that this agent serves.
+        configuration: TLS and QUIC settings.
+        issuer: Makes connection IDs.
+        encapsulation: Codec of the datagrams to and from balancers.
+        balancers: The balancers believed to be alive.
+        admission: Decides about first packets.
+        handler: Answers requests.
+        on_opened: Called when a connection begins.
+        on_closed: Called when a connection has ended.
+    """
+
+    __slots__ = (
+        '_admission',
+        '_balancers',
+        '_clock',
+        '_configuration',
+        '_counters',
+        '_encapsulation',
+        '_handler',
+        '_issuer',
+        '_on_closed',
+        '_on_opened',
+        '_services',
+        '_socket',
+        '_table',
+        'address',
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        address: Address,
+        services: frozenset[int],
+        configuration: QuicConfiguration,
+        issuer: ConnectionIdIssuer,
+        encapsulation: EncapsulationCodec,
+        balancers: Balancers,
+        admission: ConnectionAdmission,
+        handler: StreamHandler,
+        on_opened: Callable[[ClientConnection], None] = lambda _: None,
+        on_closed: Callable[[ClientConnection], None] = lambda _: None,
+    ) -> None:
+        self.address = address
+        self._clock = clock
+        self._services = services
+        self._configuration = configuration
+        self._issuer = issuer
+        self._encapsulation = encapsulation
+        self._balancers = balancers
+        self._admission = admission
+        self._handler = handler
+        self._on_opened = on_opened
+        self._on_closed = on_closed
+        self._table = ConnectionTable()
+        self._counters = PacketCounters()
+        self._socket = bind_udp(address)
+
+    @property
+    def table(self) -> ConnectionTable:
+        """The connections of this agent."""
+        return self._table
+
+    @property
+    def counters(self) -> PacketCounters:
+        """What happened to the packets."""
+        return self._counters
+
+    @property
+    def issuer(self) -> ConnectionIdIssuer:
+        """Maker of connection IDs."""
+        return self._issuer
+
+    def run(self) -> None:
+        """Receives packets until the socket is closed."""
+        receive_all(self._socket, self._receive)
+
+    def close(self) -> None:
+        """Closes the socket."""
+        self._socket.close()
+
+    def send_to_balancer(
+        self,
+        datagram: Encapsulated,
+        receiver: Address,
+    ) -> None:
+        """Sends a datagram; one that the socket refuses is lost."""
+        try:
+            self._socket.sendto(
+                self._encapsulation.encode(datagram), receiver.endpoint
+            )
+        except OSError:
+            self._counters.add(PacketFate.DROPPED_UNREACHABLE)
+
+    def _receive(self, wire: bytes, _: tuple[str, int]) -> None:
+        datagram = self._encapsulation.decode(wire)
+        if datagram is None:
+            self._counters.add(PacketFate.DROPPED_FORGED)
+            return
+        if datagram.service not in self._services:
+            self._counters.add(PacketFate.DROPPED_WRONG_SERVICE)
+            return
+        connection_id = destination_id(datagram.payload)
+        if connection_id is None:
+            self._counters.add(PacketFate.DROPPED_MALFORMED)
+            return
+        self._dispatch(datagram, connection_id)
+
+    def _dispatch(self, datagram: Encapsulated, connection_id: bytes) -> None:
+        connection = self._table.find(connection_id)
+        if connection is None:
+            connection = self._table.find_initial(
+                datagram.client, connection_id
+            )
+        if connection is None:
+            self._receive_unknown(datagram, connection_id)
+        elif connection.service == datagram.service:
+            self._counters.add(PacketFate.FORWARDED)
+            connection.deliver(datagram)
+        else:
+            self._counters.add(PacketFate.DROPPED_WRONG_SERVICE)
+
+    def _receive_unknown(
+        self, datagram: Encapsulated, connection_id: bytes
+    ) -> None:
+        if len(connection_id) == CONNECTION_ID_SIZE:
+            if self._issuer.codec.decrypt(connection_id) is not None:
+                self._reset(datagram, connection_id)
+                return
+        if not is_initial(datagram.payload):
+            self._counters.add(PacketFate.DROPPED_NOT_INITIAL)
+        elif self._admission.accepts(datagram.service, len(self._table)):
+            self._open(datagram, connection_id)
+        else:
+            self._pass_on(datagram, connection_id)
+
+    def _pass_on(self, datagram: Encapsulated, connection_id: bytes) -> None:
+        alternate = datagram.alternate
+        if datagram.hops >= _MAX_HOPS or alternate in {None, self.address}:
+            if self._admission.is_closed():
+                self._counters.add(PacketFate.DROPPED_NO_AGENT)
+            else:
+                self._open(datagram, connection_id)
+            return
+        datagram.hops += 1
+        self._counters.add(PacketFate.PASSED_ON)
+        self.send_to_balancer(datagram, alternate)
+
+    def _open(self, datagram: Encapsulated, chosen_id: bytes) -> None:
+        if self._table.half_open >= _MAX_HALF_OPEN:
+            self._counters.add(PacketFate.DROPPED_OVER_LIMIT)
+            return
+        ids = self._table.reserve(datagram.client, chosen_id)
+        connection = ClientConnection(
+            clock=self._clock,
+            quic=RoutableQuic(
+                configuration=self._configuration,
+                original_destination_id=chosen_id,
+                issuer=self._issuer,
+                service=datagram.service,
+                on_issued=ids.issue,
+            ),
+            first=datagram,
+            path=AnswerPath(
+                clock=self._clock,
+                balancers=self._balancers,
+                latest=datagram.balancer,
+            ),
+            handler=self._handler,
+            send=self._send_answer,
+            on_retired=ids.retire,
+        )
+        self._table.add(connection, ids)
+        self._counters.add(PacketFate.PLACED)
+        self._on_opened(connection)
+        task = gevent.spawn(connection.run)
+        task.link(partial(self._remove, connection))
+        connection.deliver(datagram)
+
+    def _remove(self, connection: ClientConnection, _: object) -> None:
+        self._table.remove(connection)
+        self._on_closed(connection)
+
+    def _send_answer(
+        self, connection: ClientConnection, payload: bytes, balancer: Address
+    ) -> None:
+        self._counters.add(PacketFate.ANSWERED)
+        self.send_to_balancer(
+            Encapsulated(
+                kind=DatagramKind.ANSWER,
+                service=connection.service,
+                service_address=connection.service_address,
+                client=connection.client,
+                balancer=balancer,
+                payload=payload,
+            ),
+            balancer,
+        )
+
+    def _reset(self, datagram: Encapsulated, connection_id: bytes) -> None:
+        # Long-header packets of a lost handshake end by their own timeout;
+        # a stateless reset answers short headers only (RFC 9000, 10.3).
+        if has_long_header(datagram.payload):
+            self._counters.add(PacketFate.DROPPED_UNKNOWN_CONNECTION)
+            return
+        payload = stateless_reset(
+            self._issuer.codec, connection_id, len(datagram.payload)
+        )
+        if payload is None:
+            self._counters.add(PacketFate.DROPPED_UNKNOWN_CONNECTION)
+            return
+        self._counters.add(PacketFate.RESET)
+        datagram.kind = DatagramKind.ANSWER
+        datagram.payload = payload
+        self.send_to_balancer(datagram, datagram.balancer)
--- /dev/null
+++ b/anvilthread/balancer/__init__.py
@@ -0,0 +1,1 @@
+"""The balancer daemon."""
--- /dev/null
+++ b/anvilthread/balancer/service_listener.py
@@ -0,0 +1,53 @@
+"""A socket on which a balancer receives one service."""
+
+from gevent import socket
+
+from anvilthread.address import Address
+from anvilthread.transport.udp_socket import bind_udp
+
+
+class ServiceListener:
+    """Receives the packets for one service address.
+
+    Args:
+        service: Number of the service.
+        service_address: The address that clients write to.
+        bind_address: The address to receive on. It differs from the service
+            address when the network fabric rewrites destinations.
+
+    Raises:
+        OSError: If the address cannot be bound.
+    """
+
+    __slots__ = (
+        'packed_address',
+        'packed_service',
+        'service',
+        'service_address',
+        'socket',
+    )
+
+    def __init__(
+        self,
+        *,
+        service: int,
+        service_address: Address,
+        bind_address: Address,
+    ) -> None:
+        self.service = service
+        self.service_address = service_address
+        self.packed_service = service.to_bytes(2, 'big')
+        self.packed_address = service_address.pack()
+        self.socket: socket.socket = bind_udp(bind_address)
+
+    def send(self, payload: bytes, endpoint: tuple[str, int]) -> None:
+        """Sends a datagram to a client; one that cannot be sent is lost."""
+        try:
+            self.socket.sendto(payload, endpoint)
+        except OSError:
+            # The client repeats what it misses, so loss needs no handling.
+            return
+
+    def close(self) -> None:
+        """Closes the socket."""
+        self.socket.close()
--- a/anvilthread/routing/encapsulated.py
+++ b/anvilthread/routing/encapsulated.py
@@ -10,6 +10,8 @@
     Args:
         kind: What the datagram carries.
         service: Number of the service whose address the client wrote to.
+        service_address: The address that the client wrote to; answers leave
+            from it.
         client: Address of the client.
         balancer: Data address of the balancer at which the packet arrived or
             from which it goes to the client.
@@ -26,6 +28,7 @@
         'kind',
         'payload',
         'service',
+        'service_address',
     )
 
     def __init__(
@@ -33,6 +36,7 @@
         *,
         kind: DatagramKind,
         service: int,
+        service_address: Address,
         client: Address,
         balancer: Address,
         payload: bytes,
@@ -41,6 +45,7 @@
     ) -> None:
         self.kind = kind
         self.service = service
+        self.service_address = service_address
         self.client = client
         self.balancer = balancer
         self.payload = payload
--- a/anvilthread/routing/encapsulation_codec.py
+++ b/anvilthread/routing/encapsulation_codec.py
@@ -9,8 +9,8 @@
 from anvilthread.routing.datagram_kind import DatagramKind
 from anvilthread.routing.encapsulated import Encapsulated
 
-#: Version, kind, service, client, balancer, alternate, hops.
-_HEADER: Final = struct.Struct('!BBH6s6s6sB')
+#: Version, kind, service, service address, client, balancer, alternate, hops.
+_HEADER: Final = struct.Struct('!BBH6s6s6s6sB')
 _VERSION: Final = 1
 _TAG_SIZE: Final = 8
 _NO_ALTERNATE: Final = bytes(Address.packed_size)
@@ -58,6 +58,7 @@
         return self.encode_raw(
             kind=datagram.kind,
             service=datagram.service,
+            service_address=datagram.service_address.pack(),
             client=datagram.client.pack(),
             balancer=datagram.balancer.pack(),
             payload=datagram.payload,
@@ -70,6 +71,7 @@
         *,
         kind: int,
         service: int,
+        service_address: bytes,
         client: bytes,
         balancer: bytes,
         payload: bytes,
@@ -78,7 +80,14 @@
     ) -> bytes:
         """Encodes from packed addresses, for the forwarding path."""
         header = _HEADER.pack(
-            _VERSION, kind, service, client, balancer, alternate, hops
+            _VERSION,
+            kind,
+            service,
+            service_address,
+            client,
+            balancer,
+            alternate,
+            hops,
         )
         state = self._current.copy()
         state.update(header)
@@ -89,14 +98,22 @@
         """Returns the datagram, or None if it is malformed or forged."""
         if len(wire) < OVERHEAD_SIZE or not self._is_authentic(wire):
             return None
-        version, kind, service, client, balancer, alternate, hops = (
-            _HEADER.unpack_from(wire, _TAG_SIZE)
-        )
+        (
+            version,
+            kind,
+            service,
+            service_address,
+            client,
+            balancer,
+            alternate,
+            hops,
+        ) = _HEADER.unpack_from(wire, _TAG_SIZE)
         if version != _VERSION or kind not in _KINDS:
             return None
         return Encapsulated(
             kind=_KINDS[kind],
             service=service,
+            service_address=Address.unpack(service_address),
             client=Address.unpack(client),
             balancer=Address.unpack(balancer),
             payload=wire[OVERHEAD_SIZE:],
--- /dev/null
+++ b/anvilthread/routing/packet_counters.py
@@ -0,0 +1,26 @@
+"""Counts of packets by what happened to them."""
+
+from collections import Counter
+
+from anvilthread.routing.packet_fate import PacketFate
+
+
+class PacketCounters:
+    """Packet counts of one process."""
+
+    __slots__ = ('_counts',)
+
+    def __init__(self) -> None:
+        self._counts: Counter[PacketFate] = Counter()
+
+    def add(self, fate: PacketFate) -> None:
+        """Counts one packet."""
+        self._counts[fate] += 1
+
+    def count(self, fate: PacketFate) -> int:
+        """Returns how many packets had this fate."""
+        return self._counts[fate]
+
+    def by_fate(self) -> dict[PacketFate, int]:
+        """Returns every count."""
+        return dict(self._counts)
