--- a/anvilthread/agent/client_connection.py
+++ b/anvilthread/agent/client_connection.py
@@ -235,6 +235,10 @@
     def _serve_stream(self, stream: H3Stream) -> None:
         try:
             self._handler.handle(stream, self._service)
+        except Exception:
+            # The client must not wait for an answer that never comes.
+            stream.reset()
+            raise
         finally:
             self._streams.pop(stream.stream_id, None)
             self._wake.set()
--- a/standins/fabric.py
+++ b/standins/fabric.py
@@ -1,6 +1,7 @@
 """A network fabric that sprays packets over balancers."""
 
 import json
+from collections.abc import Callable
 from random import Random
 from typing import Annotated
 
@@ -58,11 +59,16 @@
             if name in changes:
                 setattr(self, name, changes[name])
 
+    def close(self) -> None:
+        """Closes every socket."""
+        for known in (*self._sockets.values(), *self._clients.values()):
+            known.close()
+
     def _run_service(self, address: Address) -> None:
         def receive(payload: bytes, client: tuple[str, int]) -> None:
             self._towards_balancer(address, payload, client)
 
-        receive_all(self._sockets[address], receive)
+        _receive_until_closed(self._sockets[address], receive)
 
     def _towards_balancer(
         self, address: Address, payload: bytes, client: tuple[str, int]
@@ -85,7 +91,7 @@
         def receive(payload: bytes, _: tuple[str, int]) -> None:
             self._transfer(inbound, payload, client)
 
-        gevent.spawn(receive_all, outbound, receive)
+        gevent.spawn(_receive_until_closed, outbound, receive)
         return outbound
 
     def _transfer(
@@ -105,6 +111,16 @@
             _send(sender, payload, receiver)
 
 
+def _receive_until_closed(
+    source: socket.socket,
+    handle: Callable[[bytes, tuple[str, int]], None],
+) -> None:
+    try:
+        receive_all(source, handle)
+    except OSError:
+        return
+
+
 def _send(
     sender: socket.socket, payload: bytes, receiver: tuple[str, int]
 ) -> None:
