Read the settings of balancers and agents

Every process learns its addresses, site and seeds from one TOML file. msgspec checks each value; the reader converts the keys one by one, because msgspec stops at the first fault and operators need all of them at once. The sample value and the description in each remedy come from the msgspec Meta of the setting, so that types and messages cannot drift apart.

--- /dev/null
+++ b/anvilthread/settings/__init__.py
@@ -0,0 +1,21 @@
+"""The TOML settings of one process, and the keys of its cluster."""
+
+from anvilthread.settings.agent_settings import AgentSettings
+from anvilthread.settings.balancer_settings import BalancerSettings
+from anvilthread.settings.node_settings import NodeSettings
+from anvilthread.settings.settings_error import SettingsError
+from anvilthread.settings.settings_fault import SettingsFault
+from anvilthread.settings.settings_reader import (
+    read_agent_settings,
+    read_balancer_settings,
+)
+
+__all__ = (
+    'AgentSettings',
+    'BalancerSettings',
+    'NodeSettings',
+    'SettingsError',
+    'SettingsFault',
+    'read_agent_settings',
+    'read_balancer_settings',
+)
--- /dev/null
+++ b/anvilthread/settings/address_check.py
@@ -0,0 +1,45 @@
+"""Rules between the addresses of one process."""
+
+from collections.abc import Iterator, Mapping
+from typing import Any, Final
+
+from anvilthread.address import Address
+from anvilthread.settings.field_reader import FieldReader
+from anvilthread.settings.settings_fault import SettingsFault
+
+_WILDCARD: Final = '0.0.0.0'  # noqa: S104
+#: Addresses that are told to other nodes, so that they must be reachable.
+_ANNOUNCED: Final = ('control', 'data', 'request')
+#: Pairs of the same protocol, which cannot share a socket.
+_EXCLUSIVE: Final = (('data', 'control'), ('metrics', 'request'))
+
+
+def check_addresses(
+    settings: Mapping[str, Any], reader: FieldReader
+) -> Iterator[SettingsFault]:
+    """Yields the faults of addresses that cannot work together.
+
+    Args:
+        settings: Converted values by key; keys with faults are absent.
+        reader: Words the faults.
+    """
+    for key in _ANNOUNCED:
+        address = settings.get(key)
+        if address is not None and not _is_reachable(address):
+            yield reader.fault(
+                key,
+                f'{address} cannot be reached by other nodes',
+                'give the IP of this VM and a port other than 0',
+            )
+    for key, other in _EXCLUSIVE:
+        address = settings.get(key)
+        if address is not None and address == settings.get(other):
+            yield reader.fault(
+                key,
+                f'{address} is also the address of `{other}`',
+                'give it a port of its own',
+            )
+
+
+def _is_reachable(address: Address) -> bool:
+    return address.host != _WILDCARD and address.port > 0
--- /dev/null
+++ b/anvilthread/settings/settings_reader.py
@@ -0,0 +1,107 @@
+"""Reading and checking of the settings of one process."""
+
+import difflib
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any, Final, Generic, TypeVar, get_type_hints
+
+import msgspec
+from result import Err, Ok, Result
+
+from anvilthread.settings.address_check import check_addresses
+from anvilthread.settings.agent_settings import AgentSettings
+from anvilthread.settings.balancer_settings import BalancerSettings
+from anvilthread.settings.field_reader import FieldReader
+from anvilthread.settings.node_settings import NodeSettings
+from anvilthread.settings.settings_error import SettingsError
+from anvilthread.settings.settings_fault import SettingsFault
+from anvilthread.settings.toml_file import read_toml
+
+SettingsT = TypeVar('SettingsT', bound=NodeSettings)
+
+_NO_VALUE: Final = object()
+
+
+class SettingsReader(Generic[SettingsT]):
+    """Reads one kind of settings and reports every fault at once.
+
+    Args:
+        settings_type: The settings to read.
+    """
+
+    __slots__ = ('_settings_type', '_types')
+
+    def __init__(self, *, settings_type: type[SettingsT]) -> None:
+        self._settings_type = settings_type
+        self._types = get_type_hints(settings_type, include_extras=True)
+
+    def read(self, path: Path) -> Result[SettingsT, SettingsError]:
+        """Reads a settings file.
+
+        Args:
+            path: The TOML file.
+
+        Returns:
+            The settings, or an error with every fault of the file.
+        """
+        table = read_toml(path)
+        if isinstance(table, Err):
+            return table
+        return self.convert(table.ok_value, path=path)
+
+    def convert(
+        self, table: dict[str, Any], *, path: Path
+    ) -> Result[SettingsT, SettingsError]:
+        """Checks a parsed table; ``path`` anchors relative paths."""
+        reader = FieldReader(path=path)
+        faults = list(self._unknown(table, reader))
+        converted: dict[str, Any] = {}
+        for field in msgspec.structs.fields(self._settings_type):
+            value = table.get(field.name, _NO_VALUE)
+            outcome = self._read_field(field, value, reader)
+            if isinstance(outcome, Err):
+                faults.append(outcome.err_value)
+            elif outcome.ok_value is not _NO_VALUE:
+                converted[field.name] = outcome.ok_value
+        faults.extend(check_addresses(converted, reader))
+        if faults:
+            return Err(SettingsError(faults=faults))
+        return Ok(self._settings_type(**converted))
+
+    def _read_field(
+        self,
+        field: msgspec.structs.FieldInfo,
+        value: object,
+        reader: FieldReader,
+    ) -> Result[Any, SettingsFault]:
+        setting_type = self._types[field.name]
+        if value is not _NO_VALUE:
+            return reader.read(field.name, value, setting_type)
+        if field.required:
+            return Err(reader.missing(field.name, setting_type))
+        return Ok(_NO_VALUE)
+
+    def _unknown(
+        self, table: dict[str, Any], reader: FieldReader
+    ) -> Iterator[SettingsFault]:
+        for key in table:
+            if key not in self._types:
+                yield reader.fault(key, 'is not a known key', self._hint(key))
+
+    def _hint(self, key: str) -> str:
+        close = difflib.get_close_matches(key, self._types, n=1)
+        if close:
+            return f'write `{close[0]}` or remove it'
+        return f'remove it; known keys are {", ".join(self._types)}'
+
+
+def read_balancer_settings(
+    path: Path,
+) -> Result[BalancerSettings, SettingsError]:
+    """Reads the settings of a balancer."""
+    return SettingsReader(settings_type=BalancerSettings).read(path)
+
+
+def read_agent_settings(path: Path) -> Result[AgentSettings, SettingsError]:
+    """Reads the settings of an agent."""
+    return SettingsReader(settings_type=AgentSettings).read(path)
