Keep and rotate the keys of a cluster

Every node needs the same connection ID, datagram, CURVE and execution keys, and each kind must be replaceable without breaking a connection.

Public CURVE keys are derived from the secrets.

--- a/anvilthread/settings/__init__.py
+++ b/anvilthread/settings/__init__.py
@@ -2,6 +2,10 @@
 
 from anvilthread.settings.agent_settings import AgentSettings
 from anvilthread.settings.balancer_settings import BalancerSettings
+from anvilthread.settings.curve_pair import CurvePair
+from anvilthread.settings.key_file import KeyFile
+from anvilthread.settings.key_ring import KeyRing
+from anvilthread.settings.keys import Keys
 from anvilthread.settings.node_settings import NodeSettings
 from anvilthread.settings.settings_error import SettingsError
 from anvilthread.settings.settings_fault import SettingsFault
@@ -13,6 +17,10 @@
 __all__ = (
     'AgentSettings',
     'BalancerSettings',
+    'CurvePair',
+    'KeyFile',
+    'KeyRing',
+    'Keys',
     'NodeSettings',
     'SettingsError',
     'SettingsFault',
--- a/anvilthread/settings/field_reader.py
+++ b/anvilthread/settings/field_reader.py
@@ -94,11 +94,15 @@
 def _sample(key: str, setting_type: object) -> str:
     meta = _meta(setting_type)
     if meta is None or not meta.examples:
-        return f'a valid `{key}`'
+        return f'`{key}` as {_description(meta)}'
     line = f'{key} = {json.dumps(meta.examples[0])}'
     return f'`{line}` ({meta.description})'
 
 
+def _description(meta: msgspec.Meta | None) -> str:
+    return (meta and meta.description) or 'a value of that type'
+
+
 def _meta(setting_type: object) -> msgspec.Meta | None:
     candidates = (setting_type, *get_args(setting_type))
     for candidate in candidates:
--- /dev/null
+++ b/anvilthread/settings/key_document_reader.py
@@ -0,0 +1,135 @@
+"""Checking of the tables of a key file."""
+
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, Final, TypeVar
+
+from result import Err, Ok, Result
+
+from anvilthread.routing.connection_id_codec import KEY_NUMBERS
+from anvilthread.settings.curve_secrets import CurveSecrets
+from anvilthread.settings.field_reader import FieldReader
+from anvilthread.settings.key_document import KeyDocument
+from anvilthread.settings.key_kind import KeyKind
+from anvilthread.settings.key_ring import KeyRing
+from anvilthread.settings.key_text import KEY_TYPES, KeyText
+from anvilthread.settings.settings_error import SettingsError
+from anvilthread.settings.settings_fault import SettingsFault
+
+ValueT = TypeVar('ValueT')
+
+_RING_KEYS: Final = frozenset(('active', 'keys'))
+_KINDS: Final = frozenset(KeyKind)
+_NUMBERS: Final = {str(number): number for number in KEY_NUMBERS}
+_NUMBER_REMEDY: Final = 'write the number of one of the keys'
+_RESTORE: Final = 'restore the file or make one with `anvilthread key new`'
+
+
+class KeyDocumentReader:
+    """Checks a parsed key file and collects every fault.
+
+    Args:
+        path: The file, named by the faults.
+    """
+
+    __slots__ = ('_faults', '_reader')
+
+    def __init__(self, *, path: Path) -> None:
+        self._reader = FieldReader(path=path)
+        self._faults: list[SettingsFault] = []
+
+    def read(
+        self, table: Mapping[str, Any]
+    ) -> Result[KeyDocument, SettingsError]:
+        """Returns the document, or an error with every fault."""
+        for name in table:
+            if name not in _KINDS:
+                self._fault(name, 'is not a known table', 'remove it')
+        rings = {
+            kind: self._ring(kind, table[kind])
+            for kind in KeyKind
+            if self._has_table(table, kind, name=kind)
+        }
+        if self._faults:
+            return Err(SettingsError(faults=self._faults))
+        return Ok(KeyDocument(rings=rings))
+
+    def _ring(
+        self, kind: KeyKind, table: Mapping[str, Any]
+    ) -> KeyRing[KeyText]:
+        for name in table:
+            if name not in _RING_KEYS:
+                self._fault(f'{kind}.{name}', 'is not a known key', 'remove it')
+        active = self._active(kind, table)
+        keys = self._keys(kind, table)
+        if keys and active not in keys:
+            self._fault(
+                f'{kind}.active',
+                f'there is no key {active}',
+                _NUMBER_REMEDY,
+            )
+        return KeyRing(keys=keys, active=active)
+
+    def _active(self, kind: KeyKind, table: Mapping[str, Any]) -> int:
+        name = f'{kind}.active'
+        if 'active' not in table:
+            self._fault(name, 'is missing', _NUMBER_REMEDY)
+            return 0
+        return self._value(self._reader.read(name, table['active'], int), 0)
+
+    def _keys(
+        self, kind: KeyKind, table: Mapping[str, Any]
+    ) -> dict[int, KeyText]:
+        name = f'{kind}.keys'
+        if not self._has_table(table, 'keys', name=name):
+            return {}
+        if not table['keys']:
+            self._fault(name, 'there is no key', _RESTORE)
+        return {
+            self._number(kind, text): self._key(
+                f'{kind}.keys.{text}', kind, key
+            )
+            for text, key in table['keys'].items()
+        }
+
+    def _number(self, kind: KeyKind, text: str) -> int:
+        if text in _NUMBERS:
+            return _NUMBERS[text]
+        self._fault(
+            f'{kind}.keys.{text}',
+            'is not a key number',
+            f'use a number from 0 to {KEY_NUMBERS[-1]}',
+        )
+        return -1
+
+    def _key(self, name: str, kind: KeyKind, key: object) -> KeyText:
+        outcome = self._reader.read(name, key, KEY_TYPES[kind])
+        text: KeyText = self._value(outcome, '')
+        if isinstance(text, CurveSecrets):
+            self._check_curve(name, text)
+        return text
+
+    def _check_curve(self, name: str, secrets: CurveSecrets) -> None:
+        try:
+            secrets.pair()
+        except ValueError as error:
+            self._fault(name, str(error), _RESTORE)
+
+    def _has_table(
+        self, parent: Mapping[str, Any], key: str, *, name: str
+    ) -> bool:
+        if isinstance(parent.get(key), dict):
+            return True
+        self._fault(name, 'the table is missing', _RESTORE)
+        return False
+
+    def _value(
+        self, outcome: Result[ValueT, SettingsFault], default: ValueT
+    ) -> ValueT:
+        if isinstance(outcome, Err):
+            self._faults.append(outcome.err_value)
+            return default
+        return outcome.ok_value
+
+    def _fault(self, key: str, reason: str, remedy: str) -> None:
+        self._faults.append(self._reader.fault(key, reason, remedy))
--- /dev/null
+++ b/anvilthread/settings/keys.py
@@ -0,0 +1,50 @@
+"""Every key of a cluster."""
+
+from anvilthread.settings.curve_pair import CurvePair
+from anvilthread.settings.key_ring import KeyRing
+
+
+class Keys:
+    """The content of a key file.
+
+    Args:
+        connection_id: AES-128 keys of connection IDs, 16 bytes.
+        datagram: Keys of datagram tags, 32 bytes.
+        curve: CURVE identities of the nodes.
+        execution: Keys that seal execution keys, 32 bytes.
+    """
+
+    __slots__ = ('_connection_id', '_curve', '_datagram', '_execution')
+
+    def __init__(
+        self,
+        *,
+        connection_id: KeyRing[bytes],
+        datagram: KeyRing[bytes],
+        curve: KeyRing[CurvePair],
+        execution: KeyRing[bytes],
+    ) -> None:
+        self._connection_id = connection_id
+        self._datagram = datagram
+        self._curve = curve
+        self._execution = execution
+
+    @property
+    def connection_id(self) -> KeyRing[bytes]:
+        """AES-128 keys of connection IDs."""
+        return self._connection_id
+
+    @property
+    def datagram(self) -> KeyRing[bytes]:
+        """Keys of datagram tags; ``ordered`` gives the current one first."""
+        return self._datagram
+
+    @property
+    def curve(self) -> KeyRing[CurvePair]:
+        """CURVE identities of the nodes."""
+        return self._curve
+
+    @property
+    def execution(self) -> KeyRing[bytes]:
+        """Keys that seal execution keys."""
+        return self._execution
--- a/anvilthread/settings/settings_fault.py
+++ b/anvilthread/settings/settings_fault.py
@@ -1,7 +1,9 @@
 """One fault of a settings file."""
 
+from anvilthread.error import AnvilthreadError
 
-class SettingsFault:
+
+class SettingsFault(AnvilthreadError):
     """What is wrong with one key of a file, and what to do about it.
 
     Args:
@@ -11,15 +13,12 @@
         remedy: What the operator can do about it, in one clause.
     """
 
-    __slots__ = ('_file', '_key', '_reason', '_remedy')
-
     def __init__(
         self, *, file: str, key: str, reason: str, remedy: str
     ) -> None:
+        super().__init__(reason=reason, remedy=remedy)
         self._file = file
         self._key = key
-        self._reason = reason
-        self._remedy = remedy
 
     @property
     def file(self) -> str:
@@ -31,20 +30,10 @@
         """Dotted key; empty for the file as a whole."""
         return self._key
 
-    @property
-    def reason(self) -> str:
-        """What is wrong."""
-        return self._reason
-
-    @property
-    def remedy(self) -> str:
-        """What the operator can do about it."""
-        return self._remedy
-
     @property
     def location(self) -> str:
         """The file and, if there is one, the key."""
         return f'{self._file}: {self._key}' if self._key else self._file
 
     def __str__(self) -> str:
-        return f'{self.location}: {self._reason}; {self._remedy}'
+        return f'{self.location}: {super().__str__()}'
