--- a/anvilthread/telemetry/metrics.py
+++ b/anvilthread/telemetry/metrics.py
@@ -10,7 +10,7 @@
 from aioprometheus.renderer import render
 
 from anvilthread.error import AnvilthreadError
-from anvilthread.telemetry.metric import Metric
+from anvilthread.telemetry.metric import Metric, SeriesT
 from anvilthread.telemetry.series import (
     CounterSeries,
     GaugeSeries,
@@ -94,17 +94,8 @@
         """
         _require_total(name)
         _check_unit(name.removesuffix(_TOTAL), unit)
-        return self._register(
-            name,
-            Metric(
-                collector=self._collector(
-                    collectors.Counter, name, description
-                ),
-                labels=labels,
-                make_series=CounterSeries,
-                max_series=max_series,
-            ),
-        )
+        collector = self._collector(collectors.Counter, name, description)
+        return self._add(collector, labels, CounterSeries, max_series)
 
     def gauge(
         self,
@@ -117,15 +108,8 @@
     ) -> Gauge:
         """Makes a gauge; see :meth:`counter` for the arguments."""
         _check_unit(name, unit)
-        return self._register(
-            name,
-            Metric(
-                collector=self._collector(collectors.Gauge, name, description),
-                labels=labels,
-                make_series=GaugeSeries,
-                max_series=max_series,
-            ),
-        )
+        collector = self._collector(collectors.Gauge, name, description)
+        return self._add(collector, labels, GaugeSeries, max_series)
 
     def histogram(
         self,
@@ -154,19 +138,11 @@
         """
         _check_unit(name, unit)
         upper = (*bounds, inf)
-        return self._register(
-            name,
-            Metric(
-                collector=self._collector(
-                    partial(collectors.Histogram, buckets=upper),
-                    name,
-                    description,
-                ),
-                labels=labels,
-                make_series=partial(HistogramSeries, bounds=upper),
-                max_series=_MAX_SERIES,
-            ),
+        collector = self._collector(
+            partial(collectors.Histogram, buckets=upper), name, description
         )
+        make_series = partial(HistogramSeries, bounds=upper)
+        return self._add(collector, labels, make_series, _MAX_SERIES)
 
     def before_render(self, callback: Callable[[], None]) -> None:
         """Registers a function that sets gauges before each scrape."""
@@ -189,8 +165,11 @@
             series.add(metric.overflowed - series.sample())
 
     def _collector(
-        self, make: Callable[..., Any], name: str, description: str
-    ) -> Any:
+        self,
+        make: Callable[..., collectors.Collector],
+        name: str,
+        description: str,
+    ) -> collectors.Collector:
         if not name.startswith(_PREFIX) or not _NAME.fullmatch(name):
             raise MetricNameError(
                 reason=f'metric {name!r} is not a name in snake case',
@@ -203,8 +182,20 @@
             )
         return make(name, description, registry=self._registry)
 
-    def _register(self, name: str, metric: Metric[Any]) -> Any:
-        self._metrics[name] = metric
+    def _add(
+        self,
+        collector: collectors.Collector,
+        labels: tuple[str, ...],
+        make_series: Callable[[], SeriesT],
+        max_series: int,
+    ) -> Metric[SeriesT]:
+        metric = Metric(
+            collector=collector,
+            labels=labels,
+            make_series=make_series,
+            max_series=max_series,
+        )
+        self._metrics[collector.name] = metric
         return metric
 
 
