Let operators ask a node for its status and its drain

Commands need status, targets and drain from a running node without a channel of their own. The requests travel over the Transport Protocol, which may lose and repeat messages: the client numbers each request and sends it again until an answer arrives, and drains are idempotent. A timeout is an error of its own type, because it does not tell whether the node acted. Lists of targets come in pages that fit into a datagram.

--- /dev/null
+++ b/anvilthread/operation/node_operations.py
@@ -0,0 +1,38 @@
+"""What a daemon offers to operators."""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from result import Result
+
+from anvilthread.operation.errors import OperationRefusedError
+from anvilthread.operation.node_status import NodeStatus
+from anvilthread.operation.target_status import TargetStatus
+
+
+class NodeOperations(Protocol):
+    """Operations on one node. Calls must return at once."""
+
+    def status(self) -> NodeStatus:
+        """The status of the node."""
+
+    def targets(self) -> Sequence[TargetStatus]:
+        """Every target that the node knows."""
+
+    def drain(self, operator: str) -> Result[NodeStatus, OperationRefusedError]:
+        """Starts the drain of the node.
+
+        Clients repeat requests whose answer is lost, so a second call on a
+        draining node succeeds and changes nothing.
+
+        Args:
+            operator: Who asks.
+
+        Returns:
+            The status after the start, or why the node refuses.
+        """
+
+    def undrain(
+        self, operator: str
+    ) -> Result[NodeStatus, OperationRefusedError]:
+        """Ends a drain, or refuses because other nodes already act on it."""
--- /dev/null
+++ b/anvilthread/operation/operation_server.py
@@ -0,0 +1,129 @@
+"""The node's side of operations."""
+
+from typing import Final
+
+import msgspec
+from result import Err, Result
+
+from anvilthread.operation.answers import (
+    Answer,
+    RefusalAnswer,
+    StatusAnswer,
+    TargetsAnswer,
+)
+from anvilthread.operation.envelope import Envelope, pack, unpack
+from anvilthread.operation.errors import OperationRefusedError
+from anvilthread.operation.node_operations import NodeOperations
+from anvilthread.operation.node_status import NodeStatus
+from anvilthread.operation.requests import (
+    DrainRequest,
+    Request,
+    StatusRequest,
+    TargetsRequest,
+    UndrainRequest,
+)
+from anvilthread.telemetry.log import Log
+from anvilthread.transport import Received, Transport
+
+#: Keeps an answer below 8 KiB with about 100 bytes per target.
+PAGE_SIZE: Final = 64
+
+_decoder: Final = msgspec.msgpack.Decoder(Request)
+
+
+class OperationServer:
+    """Answers requests of operators.
+
+    Args:
+        transport: Where the answers go, and the requests come from.
+        operations: What the node can do.
+        log: Records changes and refusals.
+    """
+
+    __slots__ = ('_log', '_operations', '_transport')
+
+    def __init__(
+        self, *, transport: Transport, operations: NodeOperations, log: Log
+    ) -> None:
+        self._transport = transport
+        self._operations = operations
+        self._log = log
+
+    def serve(self) -> None:
+        """Answers requests until the task is ended."""
+        while True:
+            self.handle(self._transport.receive())
+
+    def handle(self, received: Received) -> bool:
+        """Answers one message, for nodes that share the transport.
+
+        Args:
+            received: A message from the transport.
+
+        Returns:
+            Whether it was an operation message.
+        """
+        envelope = unpack(received.payload)
+        if envelope is None:
+            return False
+        answer = self._answer(envelope)
+        self._transport.send(received.sender, pack(envelope.request_id, answer))
+        return True
+
+    def _answer(self, envelope: Envelope) -> Answer:
+        try:
+            request = _decoder.decode(envelope.body)
+        except msgspec.MsgspecError as error:
+            self._log.event('operation_not_understood', reason=error)
+            return RefusalAnswer(
+                reason='the node does not know this operation',
+                remedy='use the version of anvilthread that the node runs',
+            )
+        return self._run(request)
+
+    def _run(self, request: Request) -> Answer:
+        match request:
+            case StatusRequest():
+                return StatusAnswer(status=self._operations.status())
+            case TargetsRequest(after=after):
+                return self._page(after)
+            case DrainRequest(operator=operator):
+                outcome = self._operations.drain(operator)
+                return self._change('drain', operator, outcome)
+            case UndrainRequest(operator=operator):
+                outcome = self._operations.undrain(operator)
+                return self._change('undrain', operator, outcome)
+
+    def _page(self, after: str) -> TargetsAnswer:
+        following = sorted(
+            (
+                target
+                for target in self._operations.targets()
+                if target.control > after
+            ),
+            key=lambda target: target.control,
+        )
+        return TargetsAnswer(
+            targets=tuple(following[:PAGE_SIZE]),
+            has_more=len(following) > PAGE_SIZE,
+        )
+
+    def _change(
+        self,
+        operation: str,
+        operator: str,
+        outcome: Result[NodeStatus, OperationRefusedError],
+    ) -> Answer:
+        if isinstance(outcome, Err):
+            refusal = outcome.err_value
+            self._log.event(
+                'operation_refused',
+                operation=operation,
+                operator=operator,
+                reason=refusal.reason,
+            )
+            return RefusalAnswer(reason=refusal.reason, remedy=refusal.remedy)
+        self._log.event(
+            'operation_accepted', operation=operation, operator=operator
+        )
+        return StatusAnswer(status=outcome.ok_value)
--- /dev/null
+++ b/anvilthread/operation/requests.py
@@ -0,0 +1,44 @@
+"""Requests that an operator sends to a node."""
+
+from typing import TypeAlias
+
+from msgspec import Struct
+
+
+class StatusRequest(Struct, frozen=True, kw_only=True, tag='status'):
+    """Asks for the status of the node."""
+
+
+class TargetsRequest(Struct, frozen=True, kw_only=True, tag='targets'):
+    """Asks for a page of the targets that the node knows.
+
+    Attributes:
+        after: Control address that ended the previous page; empty at first.
+    """
+
+    after: str = ''
+
+
+class DrainRequest(Struct, frozen=True, kw_only=True, tag='drain'):
+    """Asks the node to drain; a repeat changes nothing.
+
+    Attributes:
+        operator: Who asks, for the log.
+    """
+
+    operator: str
+
+
+class UndrainRequest(Struct, frozen=True, kw_only=True, tag='undrain'):
+    """Asks the node to end its drain.
+
+    Attributes:
+        operator: Who asks, for the log.
+    """
+
+    operator: str
+
+
+Request: TypeAlias = (
+    StatusRequest | TargetsRequest | DrainRequest | UndrainRequest
+)
--- /dev/null
+++ b/tests/operation/test_operation.py
@@ -0,0 +1,203 @@
+"""Operations between an operator and a node over a faulty network."""
+
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Any
+
+import gevent
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Ok, Result
+
+from anvilthread.address import Address
+from anvilthread.clock import ManualClock
+from anvilthread.operation import (
+    NodeStatus,
+    OperationAnswerError,
+    OperationClient,
+    OperationError,
+    OperationRefusedError,
+    OperationServer,
+    OperationTimeoutError,
+    TargetStatus,
+)
+from anvilthread.operation.answers import RefusalAnswer, TargetsAnswer
+from anvilthread.operation.envelope import MAGIC, pack, unpack
+from anvilthread.telemetry import MemoryLog
+from anvilthread.transport import Received
+from standins.memory_network import MemoryNetwork
+
+NODE = Address(host='10.1.0.21', port=7946)
+OPERATOR = Address(host='10.1.0.99', port=9)
+
+
+class _Operations:
+    """A node that counts its drains."""
+
+    def __init__(self) -> None:
+        self.drains = 0
+        self.known: list[TargetStatus] = []
+
+    def status(self) -> NodeStatus:
+        """The status, draining after the first drain."""
+        return NodeStatus(
+            name='agent-1',
+            role='agent',
+            site='kgn-a',
+            state='draining' if self.drains else 'alive',
+            control=str(NODE),
+            incarnation=5,
+            uptime_ms=60_000,
+            revision=12,
+            members={'alive': 3},
+        )
+
+    def targets(self) -> Sequence[TargetStatus]:
+        """Every known target."""
+        return self.known
+
+    def drain(self, operator: str) -> Result[NodeStatus, OperationRefusedError]:
+        """Starts or repeats the drain."""
+        self.drains += 1
+        return Ok(self.status())
+
+    def undrain(
+        self, operator: str
+    ) -> Result[NodeStatus, OperationRefusedError]:
+        """Refuses."""
+        return Err(
+            OperationRefusedError(
+                reason='a drain cannot be undone',
+                remedy='start a new agent',
+            )
+        )
+
+
+class _Scene:
+    """A client and a node on one virtual clock."""
+
+    def __init__(self, *, seed: int = 1) -> None:
+        self.clock = ManualClock()
+        self.network = MemoryNetwork(clock=self.clock, random=Random(seed))
+        self.operations = _Operations()
+        self.log = MemoryLog()
+        self.server = OperationServer(
+            transport=self.network.transport(NODE),
+            operations=self.operations,
+            log=self.log,
+        )
+        self.client = OperationClient(
+            transport=self.network.transport(OPERATOR),
+            clock=self.clock,
+            random=Random(seed),
+        )
+        self.task = gevent.spawn(self.server.serve)
+
+    def run(self, call: Callable[[], Any]) -> Any:
+        """Runs one call of the client while the clock moves."""
+        caller = gevent.spawn(call)
+        self.clock.advance(10_000)
+        assert caller.ready()
+        self.client.close()
+        self.task.kill(block=False)
+        return caller.get()
+
+
+def test_status_reaches_the_operator() -> None:
+    """Guards against fields lost on the wire."""
+    scene = _Scene()
+    outcome = scene.run(lambda: scene.client.status(NODE))
+    assert outcome == Ok(scene.operations.status())
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_lost_messages_are_repeated(seed: int) -> None:
+    """Guards against a drain that is reported as failed after one loss."""
+    scene = _Scene(seed=seed)
+    scene.network.loss = 0.3
+    outcome = scene.run(lambda: scene.client.drain(NODE, operator='ama'))
+    assert outcome.unwrap().state == 'draining'
+    assert len(scene.log.named('operation_accepted')) >= 1
+
+
+def test_silent_node_is_a_timeout() -> None:
+    """Guards against a command that waits forever or reports success."""
+    scene = _Scene()
+    scene.network.cut(NODE, OPERATOR)
+    error = scene.run(lambda: scene.client.drain(NODE, operator='ama'))
+    assert isinstance(error.unwrap_err(), OperationTimeoutError)
+    assert str(NODE) in error.unwrap_err().reason
+    assert scene.operations.drains == 4
+
+
+def test_refusal_carries_reason_and_remedy() -> None:
+    """Guards against a refused change that looks like a lost answer."""
+    scene = _Scene()
+    error = scene.run(lambda: scene.client.undrain(NODE, operator='ama'))
+    assert isinstance(error.unwrap_err(), OperationRefusedError)
+    assert 'start a new agent' in error.unwrap_err().remedy
+    assert scene.log.named('operation_refused')[0].fields['operator'] == 'ama'
+
+
+@pytest.mark.parametrize('count', [0, 1, 64, 65, 200])
+def test_targets_come_in_pages_without_gaps(count: int) -> None:
+    """Guards against targets missing or doubled at a page boundary."""
+    scene = _Scene()
+    scene.operations.known = [
+        TargetStatus(
+            control=f'10.1.{number % 9}.{number}:7946',
+            site='kgn-a',
+            services=('stock',),
+            state='alive',
+            slots=1,
+        )
+        for number in range(count)
+    ]
+    outcome = scene.run(lambda: scene.client.targets(NODE))
+    expected = sorted(target.control for target in scene.operations.known)
+    assert [target.control for target in outcome.unwrap()] == expected
+
+
+def test_unknown_operation_is_refused() -> None:
+    """Guards against silence towards a newer command line."""
+    scene = _Scene()
+    transport = scene.network.transport(OPERATOR)
+    # A message of another type stands for an operation of a later version.
+    transport.send(NODE, pack(7, RefusalAnswer(reason='x', remedy='y')))
+    scene.clock.advance(100)
+    envelope = unpack(transport.receive().payload)
+    scene.task.kill(block=False)
+    assert envelope is not None and envelope.request_id == 7
+    assert b'does not know' in bytes(envelope.body)
+
+
+def test_answer_of_another_kind_is_an_error() -> None:
+    """Guards against a list of targets taken for a status."""
+    scene = _Scene()
+    scene.network.detach(NODE)
+    node = scene.network.transport(NODE)
+
+    def answer() -> None:
+        received = node.receive()
+        envelope = unpack(received.payload)
+        assert envelope is not None
+        page = TargetsAnswer(targets=(), has_more=False)
+        node.send(received.sender, pack(envelope.request_id, page))
+
+    task = gevent.spawn(answer)
+    error = scene.run(lambda: scene.client.status(NODE)).unwrap_err()
+    task.get()
+    assert isinstance(error, OperationAnswerError)
+    assert isinstance(error, OperationError)
+
+
+@given(payload=st.binary(max_size=60))
+@settings(derandomize=True, max_examples=200)
+def test_any_bytes_are_tolerated(payload: bytes) -> None:
+    """Guards against a damaged message that ends the server task."""
+    scene = _Scene()
+    for message in (payload, MAGIC + payload):
+        scene.server.handle(Received(sender=OPERATOR, payload=message))
+    scene.client.close()
+    scene.task.kill(block=False)
