--- /dev/null
+++ b/anvilthread/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Service-level burn reports and replay of recorded traces."""
--- /dev/null
+++ b/anvilthread/reports/guarantees/services_separate.py
@@ -0,0 +1,72 @@
+"""Guarantee 2: no packet reaches another service."""
+
+from collections.abc import Iterator
+from itertools import chain
+from typing import Final
+
+from anvilthread.reports.connection_events import (
+    ConnectionOpened,
+    PacketMisrouted,
+)
+from anvilthread.reports.guarantees.violation import Violation
+from anvilthread.reports.request_events import RequestStarted, RunStarted
+from anvilthread.reports.trace import Trace
+
+
+class ServicesSeparate:
+    """Packets, requests and runs belong to the service of the client."""
+
+    __slots__ = ()
+
+    name: Final = 'services_separate'
+    statement: Final = 'no packet or request reaches another service'
+
+    def evidence(self, trace: Trace) -> int:
+        """Number of connections, requests, runs and misrouted packets."""
+        kinds = (ConnectionOpened, RequestStarted, RunStarted, PacketMisrouted)
+        return sum(isinstance(line.event, kinds) for line in trace.lines)
+
+    def violations(self, trace: Trace) -> Iterator[Violation]:
+        """Yields every crossing from one service to another."""
+        return chain(_packets(trace), _requests(trace), _runs(trace))
+
+
+def _packets(trace: Trace) -> Iterator[Violation]:
+    for line in trace.only(PacketMisrouted):
+        packet = line.event
+        yield Violation(
+            line=line.number,
+            reason=f'a packet for {packet.service} reached {packet.reached}',
+        )
+
+
+def _requests(trace: Trace) -> Iterator[Violation]:
+    services = {
+        line.event.connection: line.event.service
+        for line in trace.only(ConnectionOpened)
+    }
+    for line in trace.only(RequestStarted):
+        request = line.event
+        service = services.get(request.connection, request.service)
+        if service != request.service:
+            yield _crossing(
+                line.number, request.request, service, request.service
+            )
+
+
+def _runs(trace: Trace) -> Iterator[Violation]:
+    services = {
+        line.event.request: line.event.service
+        for line in trace.only(RequestStarted)
+    }
+    for line in trace.only(RunStarted):
+        run = line.event
+        service = services.get(run.request, run.service)
+        if service != run.service:
+            yield _crossing(line.number, run.request, service, run.service)
+
+
+def _crossing(line: int, request: str, service: str, reached: str) -> Violation:
+    return Violation(
+        line=line, reason=f'request {request} for {service} reached {reached}'
+    )
