--- /dev/null
+++ b/anvilthread/reports/indicator.py
@@ -0,0 +1,11 @@
+"""What service-level objectives measure."""
+
+from enum import StrEnum
+
+
+class Indicator(StrEnum):
+    """A ratio of good events to all events of a service."""
+
+    CONNECTIONS_KEPT = 'connections_kept'
+    REQUESTS_ANSWERED = 'requests_answered'
+    LATENCY = 'latency'
--- /dev/null
+++ b/anvilthread/reports/trace_increments.py
@@ -0,0 +1,53 @@
+"""Indicators from a recorded trace."""
+
+from collections.abc import Iterator
+
+from anvilthread.reports.connection_events import ConnectionClosed
+from anvilthread.reports.increment import Increment
+from anvilthread.reports.indicator import Indicator
+from anvilthread.reports.objectives import ObjectivesFile
+from anvilthread.reports.request_events import RecordedOutcome, RequestEnded
+from anvilthread.reports.trace import Trace
+
+
+def trace_increments(
+    trace: Trace, objectives: ObjectivesFile
+) -> Iterator[Increment]:
+    """Yields what each closed connection and ended request counts for.
+
+    Args:
+        trace: The recorded events.
+        objectives: Gives the latency limit of each service.
+    """
+    for closed in trace.only(ConnectionClosed):
+        yield _increment(
+            closed.event,
+            Indicator.CONNECTIONS_KEPT,
+            is_bad=closed.event.reason.is_broken,
+        )
+    for ended in trace.only(RequestEnded):
+        request = ended.event
+        is_answered = request.outcome is RecordedOutcome.ANSWERED
+        yield _increment(
+            request, Indicator.REQUESTS_ANSWERED, is_bad=not is_answered
+        )
+        if is_answered:
+            limit_ms = objectives.of(request.service).latency_ms
+            yield _increment(
+                request, Indicator.LATENCY, is_bad=request.latency_ms > limit_ms
+            )
+
+
+def _increment(
+    event: ConnectionClosed | RequestEnded,
+    indicator: Indicator,
+    *,
+    is_bad: bool,
+) -> Increment:
+    return Increment(
+        ts_ms=event.ts_ms,
+        service=event.service,
+        indicator=indicator,
+        total=1,
+        bad=int(is_bad),
+    )
