Use one CURVE pair for both ends and name request addresses

The ZeroMQ transport takes one pair per key number for its server and client ends, so separate identities would be unused; the key file has the secret and the public key follows from it. Operations travel on the request address of a node, so statuses name it next to the control address.

--- a/anvilthread/operation/node_status.py
+++ b/anvilthread/operation/node_status.py
@@ -12,6 +12,7 @@
         site: Site from its settings.
         state: Membership state, for example ``alive`` or ``draining``.
         control: Its control address.
+        request: Its request address, at which it takes operations.
         incarnation: Its incarnation.
         uptime_ms: Time since it started.
         revision: Revision of the configuration in force, 0 for none.
@@ -29,6 +30,7 @@
     site: str
     state: str
     control: str
+    request: str
     incarnation: int
     uptime_ms: int
     revision: int
--- a/anvilthread/operation/operation_client.py
+++ b/anvilthread/operation/operation_client.py
@@ -158,7 +158,7 @@
         waited_ms = self._timeout_ms * self._attempts
         return OperationTimeoutError(
             reason=f'no answer from {node} within {waited_ms} ms',
-            remedy='check the control address, the key file and the node',
+            remedy='check the request address, the key file and the node',
         )
 
 
--- a/anvilthread/operation/target_status.py
+++ b/anvilthread/operation/target_status.py
@@ -8,6 +8,7 @@
 
     Attributes:
         control: Control address of the agent beside the target.
+        request: Its request address, at which it takes operations.
         site: Site of the agent.
         services: Services that the target runs.
         state: Membership state of the agent.
@@ -19,6 +20,7 @@
     """
 
     control: str
+    request: str
     site: str
     services: tuple[str, ...]
     state: str
--- a/anvilthread/settings/curve_pair.py
+++ b/anvilthread/settings/curve_pair.py
@@ -1,55 +1,42 @@
-"""Long-term ZeroMQ CURVE keys of a cluster."""
+"""The ZeroMQ CURVE key pair of a cluster."""
 
+from typing import Self
+
+import zmq
 
-class CurvePair:
-    """The server and the client identity that every node uses.
 
-    A node accepts requests with the server identity and sends them with the
-    client identity. All keys are in Z85 form, 40 bytes each.
+class CurvePair:
+    """One key pair that every node holds, as server and as client.
 
     Args:
-        server_public: Public key of the server identity.
-        server_secret: Secret key of the server identity.
-        client_public: Public key of the client identity.
-        client_secret: Secret key of the client identity.
+        public: Public key, 40 bytes in Z85.
+        secret: Secret key, 40 bytes in Z85.
     """
 
-    __slots__ = (
-        '_client_public',
-        '_client_secret',
-        '_server_public',
-        '_server_secret',
-    )
-
-    def __init__(
-        self,
-        *,
-        server_public: bytes,
-        server_secret: bytes,
-        client_public: bytes,
-        client_secret: bytes,
-    ) -> None:
-        self._server_public = server_public
-        self._server_secret = server_secret
-        self._client_public = client_public
-        self._client_secret = client_secret
+    __slots__ = ('_public', '_secret')
 
-    @property
-    def server_public(self) -> bytes:
-        """Public key of the server identity."""
-        return self._server_public
-
-    @property
-    def server_secret(self) -> bytes:
-        """Secret key of the server identity."""
-        return self._server_secret
+    def __init__(self, *, public: bytes, secret: bytes) -> None:
+        self._public = public
+        self._secret = secret
 
     @property
-    def client_public(self) -> bytes:
-        """Public key of the client identity."""
-        return self._client_public
+    def public(self) -> bytes:
+        """Public key in Z85."""
+        return self._public
 
     @property
-    def client_secret(self) -> bytes:
-        """Secret key of the client identity."""
-        return self._client_secret
+    def secret(self) -> bytes:
+        """Secret key in Z85."""
+        return self._secret
+
+    @classmethod
+    def of_secret(cls, secret: bytes) -> Self:
+        """Computes the public key.
+
+        Raises:
+            ValueError: If the secret is not 40 bytes in Z85.
+        """
+        try:
+            return cls(public=zmq.curve_public(secret), secret=secret)
+        except (KeyError, ValueError, zmq.ZMQError):
+            raise ValueError('a CURVE secret is not Z85') from None
--- a/anvilthread/settings/key_document.py
+++ b/anvilthread/settings/key_document.py
@@ -1,14 +1,16 @@
 """The text form of every key of a cluster."""
 
-from collections.abc import Iterator, Mapping
-from typing import Final
+from collections.abc import Callable, Mapping
+from typing import Final, TypeVar
 
-from anvilthread.settings.curve_secrets import CurveSecrets
+from anvilthread.settings.curve_pair import CurvePair
 from anvilthread.settings.key_kind import KeyKind
 from anvilthread.settings.key_ring import KeyRing
-from anvilthread.settings.key_text import KeyText, new_key
+from anvilthread.settings.key_text import new_key
 from anvilthread.settings.keys import Keys
 
+DecodedT = TypeVar('DecodedT')
+
 _HEADER: Final = (
     '# Keys of one Anvilthread cluster. Keep this file secret; every node has',
     '# the same one. Change it with `anvilthread key rotate`.',
@@ -24,7 +26,7 @@
 
     __slots__ = ('_rings',)
 
-    def __init__(self, *, rings: Mapping[KeyKind, KeyRing[KeyText]]) -> None:
+    def __init__(self, *, rings: Mapping[KeyKind, KeyRing[str]]) -> None:
         self._rings = dict(rings)
 
     @classmethod
@@ -37,11 +39,11 @@
             }
         )
 
-    def ring(self, kind: KeyKind) -> KeyRing[KeyText]:
+    def ring(self, kind: KeyKind) -> KeyRing[str]:
         """The keys of one kind."""
         return self._rings[kind]
 
-    def replace(self, kind: KeyKind, ring: KeyRing[KeyText]) -> 'KeyDocument':
+    def replace(self, kind: KeyKind, ring: KeyRing[str]) -> 'KeyDocument':
         """Returns a copy with other keys of one kind."""
         return KeyDocument(rings={**self._rings, kind: ring})
 
@@ -52,17 +54,10 @@
             ValueError: If a key is not in the form of its kind.
         """
         return Keys(
-            connection_id=self._secrets(KeyKind.CONNECTION_ID),
-            datagram=self._secrets(KeyKind.DATAGRAM),
-            curve=KeyRing(
-                keys={
-                    number: secrets.pair()
-                    for number, secrets in self.ring(KeyKind.CURVE).keys.items()
-                    if isinstance(secrets, CurveSecrets)
-                },
-                active=self.ring(KeyKind.CURVE).active,
-            ),
-            execution=self._secrets(KeyKind.EXECUTION),
+            connection_id=self._decode(KeyKind.CONNECTION_ID, bytes.fromhex),
+            datagram=self._decode(KeyKind.DATAGRAM, bytes.fromhex),
+            curve=self._decode(KeyKind.CURVE, _curve_pair),
+            execution=self._decode(KeyKind.EXECUTION, bytes.fromhex),
         )
 
     def render(self) -> str:
@@ -70,23 +65,19 @@
         lines = list(_HEADER)
         for kind, ring in self._rings.items():
             lines.extend(('', f'[{kind}]', f'active = {ring.active}'))
-            lines.extend(_render_keys(kind, ring))
+            lines.extend(
+                f'keys.{number} = "{key}"'
+                for number, key in sorted(ring.keys.items())
+            )
         return '\n'.join((*lines, ''))
 
-    def _secrets(self, kind: KeyKind) -> KeyRing[bytes]:
+    def _decode(
+        self, kind: KeyKind, decode: Callable[[str], DecodedT]
+    ) -> KeyRing[DecodedT]:
         ring = self._rings[kind]
-        secrets = {
-            number: bytes.fromhex(str(text))
-            for number, text in ring.keys.items()
-        }
-        return KeyRing(keys=secrets, active=ring.active)
-
-
-def _render_keys(kind: KeyKind, ring: KeyRing[KeyText]) -> Iterator[str]:
-    for number, key in sorted(ring.keys.items()):
-        path = f'keys.{number}'
-        if isinstance(key, CurveSecrets):
-            yield f'{path}.server_secret = "{key.server_secret}"'
-            yield f'{path}.client_secret = "{key.client_secret}"'
-        else:
-            yield f'{path} = "{key}"'
+        keys = {number: decode(text) for number, text in ring.keys.items()}
+        return KeyRing(keys=keys, active=ring.active)
+
+
+def _curve_pair(text: str) -> CurvePair:
+    return CurvePair.of_secret(text.encode())
--- a/anvilthread/settings/key_document_reader.py
+++ b/anvilthread/settings/key_document_reader.py
@@ -7,12 +7,12 @@
 from result import Err, Ok, Result
 
 from anvilthread.routing.connection_id_codec import KEY_NUMBERS
-from anvilthread.settings.curve_secrets import CurveSecrets
+from anvilthread.settings.curve_pair import CurvePair
 from anvilthread.settings.field_reader import FieldReader
 from anvilthread.settings.key_document import KeyDocument
 from anvilthread.settings.key_kind import KeyKind
 from anvilthread.settings.key_ring import KeyRing
-from anvilthread.settings.key_text import KEY_TYPES, KeyText
+from anvilthread.settings.key_text import KEY_TYPES
 from anvilthread.settings.settings_error import SettingsError
 from anvilthread.settings.settings_fault import SettingsFault
 
@@ -54,9 +54,7 @@
             return Err(SettingsError(faults=self._faults))
         return Ok(KeyDocument(rings=rings))
 
-    def _ring(
-        self, kind: KeyKind, table: Mapping[str, Any]
-    ) -> KeyRing[KeyText]:
+    def _ring(self, kind: KeyKind, table: Mapping[str, Any]) -> KeyRing[str]:
         for name in table:
             if name not in _RING_KEYS:
                 self._fault(f'{kind}.{name}', 'is not a known key', 'remove it')
@@ -77,9 +75,7 @@
             return 0
         return self._value(self._reader.read(name, table['active'], int), 0)
 
-    def _keys(
-        self, kind: KeyKind, table: Mapping[str, Any]
-    ) -> dict[int, KeyText]:
+    def _keys(self, kind: KeyKind, table: Mapping[str, Any]) -> dict[int, str]:
         name = f'{kind}.keys'
         if not self._has_table(table, 'keys', name=name):
             return {}
@@ -102,16 +98,16 @@
         )
         return -1
 
-    def _key(self, name: str, kind: KeyKind, key: object) -> KeyText:
+    def _key(self, name: str, kind: KeyKind, key: object) -> str:
         outcome = self._reader.read(name, key, KEY_TYPES[kind])
-        text: KeyText = self._value(outcome, '')
-        if isinstance(text, CurveSecrets):
+        text: str = self._value(outcome, '')
+        if text and kind is KeyKind.CURVE:
             self._check_curve(name, text)
         return text
 
-    def _check_curve(self, name: str, secrets: CurveSecrets) -> None:
+    def _check_curve(self, name: str, secret: str) -> None:
         try:
-            secrets.pair()
+            CurvePair.of_secret(secret.encode())
         except ValueError as error:
             self._fault(name, str(error), _RESTORE)
 
--- a/anvilthread/settings/key_text.py
+++ b/anvilthread/settings/key_text.py
@@ -4,9 +4,9 @@
 from collections.abc import Mapping
 from typing import Annotated, Final, TypeAlias
 
+import zmq
 from msgspec import Meta
 
-from anvilthread.settings.curve_secrets import CurveSecrets
 from anvilthread.settings.key_kind import KeyKind
 
 _CONNECTION_ID_BYTES: Final = 16
@@ -18,23 +18,30 @@
 SecretHex: TypeAlias = Annotated[
     str, Meta(pattern='^[0-9a-f]{64}$', description='32 bytes in hexadecimal')
 ]
+CurveSecret: TypeAlias = Annotated[
+    str,
+    Meta(
+        min_length=40,
+        max_length=40,
+        description='a secret key of 40 characters in Z85',
+    ),
+]
 
-#: A key as the file has it.
-KeyText: TypeAlias = str | CurveSecrets
-
-#: Type of the keys of each kind.
+#: Type of the keys of each kind. The file has the secret key of a CURVE pair;
+#: the public key follows from it.
 KEY_TYPES: Final[Mapping[KeyKind, object]] = {
     KeyKind.CONNECTION_ID: ConnectionIdHex,
     KeyKind.DATAGRAM: SecretHex,
-    KeyKind.CURVE: CurveSecrets,
+    KeyKind.CURVE: CurveSecret,
     KeyKind.EXECUTION: SecretHex,
 }
 
 
-def new_key(kind: KeyKind) -> KeyText:
+def new_key(kind: KeyKind) -> str:
     """Draws a key from the random source of the system."""
     if kind is KeyKind.CURVE:
-        return CurveSecrets.generate()
+        _, secret = zmq.curve_keypair()
+        return secret.decode()
     if kind is KeyKind.CONNECTION_ID:
         return os.urandom(_CONNECTION_ID_BYTES).hex()
     return os.urandom(_SECRET_BYTES).hex()
--- a/anvilthread/settings/keys.py
+++ b/anvilthread/settings/keys.py
@@ -10,7 +10,7 @@
     Args:
         connection_id: AES-128 keys of connection IDs, 16 bytes.
         datagram: Keys of datagram tags, 32 bytes.
-        curve: CURVE identities of the nodes.
+        curve: CURVE key pairs of the nodes.
         execution: Keys that seal execution keys, 32 bytes.
     """
 
@@ -41,7 +41,7 @@
 
     @property
     def curve(self) -> KeyRing[CurvePair]:
-        """CURVE identities of the nodes."""
+        """CURVE key pairs of the nodes."""
         return self._curve
 
     @property
