--- /dev/null
+++ b/anvilthread/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The ``anvilthread`` command line."""
--- /dev/null
+++ b/anvilthread/commands/config_commands.py
@@ -0,0 +1,148 @@
+"""The commands for the configuration of all sites."""
+
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import Annotated, Final, TypeAlias
+
+import typer
+
+from anvilthread.commands import connections
+from anvilthread.commands.command_failure import require
+from anvilthread.commands.configuration_gateway import RevisionSummary
+from anvilthread.commands.exit_code import ExitCode
+from anvilthread.commands.options import (
+    JsonOption,
+    OperatorOption,
+    StoreOption,
+)
+from anvilthread.commands.output import print_json, print_pairs, print_table
+
+config_app: Final = typer.Typer(
+    help='Check, apply and read the configuration of all sites.',
+    no_args_is_help=True,
+    rich_markup_mode=None,
+)
+
+DirectoryArgument: TypeAlias = Annotated[
+    Path,
+    typer.Argument(
+        metavar='DIRECTORY',
+        help='Directory with base.toml and overlays/.',
+        show_default=False,
+    ),
+]
+
+_MS_PER_SECOND: Final = 1000
+_CHECK_HELP: Final = """Check configuration files; needs no store.
+
+\b
+Examples:
+  anvilthread config check configuration
+"""
+_APPLY_HELP: Final = """Check configuration files and apply them everywhere.
+
+If another operator applied a revision in the meantime, nothing changes and
+the command shows what differs (exit code 5).
+
+\b
+Examples:
+  anvilthread config apply configuration --store http://10.1.0.5:8500
+"""
+_SHOW_HELP: Final = """Show the configuration in the store.
+
+\b
+Examples:
+  anvilthread config show --store http://10.1.0.5:8500
+  anvilthread config show --store http://10.1.0.5:8500 --site kgn-a
+"""
+_DIFF_HELP: Final = """Show what an apply would change (exit code 1 if anything).
+
+\b
+Examples:
+  anvilthread config diff configuration --store http://10.1.0.5:8500
+"""
+_HISTORY_HELP: Final = """List the recent revisions, newest first.
+
+\b
+Examples:
+  anvilthread config history --store http://10.1.0.5:8500 --json
+"""
+
+
+@config_app.command('check', help=_CHECK_HELP)
+def check(directory: DirectoryArgument, *, as_json: JsonOption = False) -> None:
+    """Checks files and lists the sites with an overlay."""
+    gateway = connections.open_configuration('')
+    sites = require(gateway.check(directory), ExitCode.PROBLEM_FOUND)
+    if as_json:
+        print_json({'valid': True, 'sites': sites})
+    else:
+        typer.echo(f'{directory}: valid for {", ".join(sites)}')
+
+
+@config_app.command('apply', help=_APPLY_HELP)
+def apply(
+    directory: DirectoryArgument,
+    store: StoreOption,
+    operator: OperatorOption,
+    *,
+    as_json: JsonOption = False,
+) -> None:
+    """Applies files as the next revision."""
+    gateway = connections.open_configuration(store)
+    applied = require(
+        gateway.apply(directory, operator=operator), ExitCode.REFUSED
+    )
+    if as_json:
+        print_json(applied)
+    else:
+        print_pairs(
+            (('revision', applied.revision), ('change', applied.change_id))
+        )
+
+
+@config_app.command('show', help=_SHOW_HELP)
+def show(
+    store: StoreOption,
+    *,
+    site: Annotated[
+        str, typer.Option('--site', help='Apply the overlay of this site.')
+    ] = '',
+) -> None:
+    """Prints the configuration as TOML."""
+    gateway = connections.open_configuration(store)
+    typer.echo(require(gateway.show(site=site), ExitCode.NO_ANSWER))
+
+
+@config_app.command('diff', help=_DIFF_HELP)
+def diff(directory: DirectoryArgument, store: StoreOption) -> None:
+    """Prints the difference between the store and files."""
+    gateway = connections.open_configuration(store)
+    changes = require(gateway.diff(directory), ExitCode.NO_ANSWER)
+    if changes:
+        typer.echo(changes)
+        raise typer.Exit(ExitCode.PROBLEM_FOUND)
+
+
+@config_app.command('history', help=_HISTORY_HELP)
+def history(store: StoreOption, *, as_json: JsonOption = False) -> None:
+    """Prints the recent revisions."""
+    gateway = connections.open_configuration(store)
+    revisions = require(gateway.history(), ExitCode.NO_ANSWER)
+    if as_json:
+        print_json(revisions)
+    else:
+        print_table(
+            ('revision', 'applied', 'operator', 'change'),
+            (_cells(revision) for revision in revisions),
+        )
+
+
+def _cells(revision: RevisionSummary) -> tuple[object, ...]:
+    applied = datetime.fromtimestamp(revision.wall_ms // _MS_PER_SECOND, UTC)
+    return (
+        revision.revision,
+        f'{applied:%Y-%m-%d %H:%M:%S} UTC',
+        revision.operator,
+        revision.change_id,
+    )
--- /dev/null
+++ b/anvilthread/commands/configuration_gateway.py
@@ -0,0 +1,55 @@
+"""What the ``config`` commands need from the configuration part."""
+
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Protocol
+
+from msgspec import Struct
+from result import Result
+
+from anvilthread.error import AnvilthreadError
+
+
+class RevisionSummary(Struct, frozen=True, kw_only=True):
+    """One revision of the configuration.
+
+    Attributes:
+        revision: Its number.
+        change_id: Identifier of the change.
+        operator: Who applied it.
+        wall_ms: When it was applied, since the Unix epoch.
+    """
+
+    revision: int
+    change_id: str
+    operator: str
+    wall_ms: int
+
+
+class ConfigurationGateway(Protocol):
+    """Access to configuration files and to the record in the store."""
+
+    def check(self, directory: Path) -> Result[Sequence[str], AnvilthreadError]:
+        """Checks base.toml and overlays.
+
+        Returns:
+            The sites that have an overlay, or every fault.
+        """
+
+    def apply(
+        self, directory: Path, *, operator: str
+    ) -> Result[RevisionSummary, AnvilthreadError]:
+        """Checks the files and makes them the next revision."""
+
+    def show(self, *, site: str) -> Result[str, AnvilthreadError]:
+        """The configuration in the store as TOML.
+
+        Args:
+            site: Site whose overlay is applied; empty for the base.
+        """
+
+    def diff(self, directory: Path) -> Result[str, AnvilthreadError]:
+        """What an apply would change, as a unified diff; empty for nothing."""
+
+    def history(self) -> Result[Sequence[RevisionSummary], AnvilthreadError]:
+        """The recent revisions, newest first."""
--- /dev/null
+++ b/anvilthread/commands/connections.py
@@ -0,0 +1,96 @@
+"""The only place where commands reach packages that are built separately.
+
+Every function fails with ``ExitCode.UNAVAILABLE`` while its package is not
+part of the build.
+"""
+
+import importlib
+import socket
+from typing import Any, Final
+
+from anvilthread.address import Address
+from anvilthread.clock import Clock
+from anvilthread.commands.command_failure import CommandFailure
+from anvilthread.commands.configuration_gateway import ConfigurationGateway
+from anvilthread.commands.exit_code import ExitCode
+from anvilthread.error import AnvilthreadError
+from anvilthread.settings import AgentSettings, BalancerSettings, Keys
+from anvilthread.transport import Transport
+
+_DISCARD_PORT: Final = 9
+
+
+def run_balancer(settings: BalancerSettings) -> None:
+    """Runs a balancer until it is stopped."""
+    _load('anvilthread.balancer', 'run')(settings)
+
+
+def run_agent(settings: AgentSettings) -> None:
+    """Runs an agent until it is stopped."""
+    _load('anvilthread.agent', 'run')(settings)
+
+
+def open_configuration(store: str) -> ConfigurationGateway:
+    """Opens the configuration part.
+
+    Args:
+        store: URL of the store; empty for commands that only read files.
+    """
+    gateway: ConfigurationGateway = _load(
+        'anvilthread.configuration', 'open_gateway'
+    )(store)
+    return gateway
+
+
+def open_transport(
+    *, keys: Keys, node: Address, bind: Address | None, clock: Clock
+) -> Transport:
+    """Opens a transport for operations on a node.
+
+    Args:
+        keys: Keys of the cluster.
+        node: Request address of the node.
+        bind: Address for the answers; by default the IP that this machine
+            uses towards the node, and a free port.
+        clock: Clock of the transport.
+    """
+    package = 'anvilthread.transport'
+    make_pair = _load(package, 'CurveKeyPair')
+    shared = _load(package, 'ZmqTransport')(
+        address=bind or _local_address(node),
+        keys=tuple(
+            make_pair(public=pair.public, secret=pair.secret)
+            for pair in keys.curve.ordered
+        ),
+        clock=clock,
+    )
+    name = _load(package, 'ChannelName').OPERATOR
+    channel: Transport = _load(package, 'Channels')(transport=shared).channel(
+        name
+    )
+    return channel
+
+
+def _load(module: str, name: str) -> Any:
+    try:
+        return getattr(importlib.import_module(module), name)
+    except ModuleNotFoundError as error:
+        if error.name != module:
+            raise
+    except AttributeError:
+        pass  # The package is there, but not yet this part of it.
+    raise CommandFailure(
+        error=AnvilthreadError(
+            reason=f'this build has no {module}.{name}',
+            remedy='install a complete build of anvilthread',
+        ),
+        exit_code=ExitCode.UNAVAILABLE,
+    )
+
+
+def _local_address(node: Address) -> Address:
+    # Connecting a UDP socket picks the source address and sends nothing.
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.connect((node.host, _DISCARD_PORT))
+        host, _ = probe.getsockname()
+    return Address(host=host, port=0)
--- /dev/null
+++ b/anvilthread/commands/exit_code.py
@@ -0,0 +1,17 @@
+"""Exit codes of the command line."""
+
+from enum import IntEnum
+
+
+class ExitCode(IntEnum):
+    """What a script learns from a command; docs/commands.md explains each."""
+
+    OK = 0
+    PROBLEM_FOUND = 1
+    USAGE = 2
+    BAD_INPUT = 3
+    NO_ANSWER = 4
+    REFUSED = 5
+    UNAVAILABLE = 6
+    INTERNAL = 70
+    INTERRUPTED = 130
--- a/anvilthread/reports/burn_page.py
+++ b/anvilthread/reports/burn_page.py
@@ -17,7 +17,7 @@
 table { border-collapse: collapse; width: 100%; }
 th, td { border-bottom: 1px solid #8886; padding: .3rem .6rem;
   text-align: right; white-space: nowrap; }
-th:nth-child(-n+2), td:nth-child(-n+2) { text-align: left; }
+th:nth-child(-n+3), td:nth-child(-n+3) { text-align: left; }
 tr.page td { background: #d55e0040; font-weight: 600; }
 tr.ticket td { background: #e69f0030; }
 svg { width: 100%; height: auto; margin-top: 1.5rem; }
@@ -68,7 +68,7 @@
 
 def _table(report: BurnReport) -> Iterator[str]:
     windows = (window.label for window in BurnWindow)
-    headings = ('service', 'objective', 'bad / events', *windows, 'alert')
+    headings = ('service', 'alert', 'objective', 'bad / events', *windows)
     yield '<table>'
     yield '<thead><tr>'
     for heading in headings:
@@ -82,7 +82,8 @@
 
 
 def _table_row(row: BurnRow) -> str:
-    cells = ''.join(f'<td>{escape(cell)}</td>' for cell in row_cells(row))
+    texts = (row.service, *row_cells(row))
+    cells = ''.join(f'<td>{escape(text)}</td>' for text in texts)
     return f'<tr class="{row.alert}">{cells}</tr>'
 
 
--- a/anvilthread/reports/burn_table.py
+++ b/anvilthread/reports/burn_table.py
@@ -1,6 +1,8 @@
 """A burn report for the terminal."""
 
+from collections.abc import Iterable
 from datetime import UTC, datetime
+from itertools import groupby
 from typing import Final
 
 from rich.box import SIMPLE_HEAD
@@ -17,44 +19,60 @@
     Alert.TICKET: 'yellow',
     Alert.NONE: '',
 }
+#: Widths of a table that fits into 80 columns.
+_OBJECTIVE_WIDTH: Final = 16
+_COUNT_WIDTH: Final = 13
+_RATE_WIDTH: Final = 5
+_ALERT_WIDTH: Final = 6
 _MS_PER_SECOND: Final = 1000
 _MS_PER_HOUR: Final = 3_600_000
 
 
 def print_report(report: BurnReport, console: Console) -> None:
-    """Prints a report as a table.
+    """Prints a table per service.
 
     Args:
         report: The report.
         console: Where to print; styles are left out if it has no colours.
     """
+    for service, rows in groupby(report.rows, key=_service):
+        console.print(_table(service, rows))
+        console.print()
+    console.print(summary(report), highlight=False)
+
+
+def _table(service: str, rows: Iterable[BurnRow]) -> Table:
     table = Table(
-        title='Error budget burn', title_justify='left', box=SIMPLE_HEAD
+        title=escape(service),
+        title_justify='left',
+        box=SIMPLE_HEAD,
+        padding=(0, 1, 0, 0),
+        show_edge=False,
     )
-    table.add_column('service')
-    table.add_column('objective')
-    table.add_column('bad / events', justify='right')
+    table.add_column('alert', min_width=_ALERT_WIDTH)
+    table.add_column('objective', min_width=_OBJECTIVE_WIDTH)
+    table.add_column('bad / events', justify='right', min_width=_COUNT_WIDTH)
     for window in BurnWindow:
-        table.add_column(window.label, justify='right')
-    table.add_column('alert')
-    for row in report.rows:
-        cells = (escape(cell) for cell in row_cells(row))
-        table.add_row(*cells, style=_STYLES[row.alert])
-    console.print(table)
-    console.print(summary(report), highlight=False)
+        table.add_column(window.label, justify='right', min_width=_RATE_WIDTH)
+    for row in rows:
+        table.add_row(*row_cells(row), style=_STYLES[row.alert])
+    return table
 
 
 def row_cells(row: BurnRow) -> tuple[str, ...]:
-    """The cells of a row as text."""
+    """The cells of a row, without the service."""
     return (
-        row.service,
+        row.alert,
         f'{row.indicator.replace("_", " ")} {row.objective:.6g}',
         f'{row.bad:.0f} / {row.total:.0f}',
-        *(f'{rate:.2f}' for rate in row.rates.values()),
-        row.alert,
+        *(f'{rate:.3g}' for rate in row.rates.values()),
     )
 
 
+def _service(row: BurnRow) -> str:
+    return row.service
+
+
 def summary(report: BurnReport) -> str:
     """Says which time the report covers and how to read it."""
     end = datetime.fromtimestamp(report.end_ms // _MS_PER_SECOND, UTC)
--- a/anvilthread/reports/burn_window.py
+++ b/anvilthread/reports/burn_window.py
@@ -24,11 +24,11 @@
 
 
 _LABELS: Final = {
-    BurnWindow.FIVE_MINUTES: '5 min',
-    BurnWindow.HALF_HOUR: '30 min',
-    BurnWindow.HOUR: '1 h',
-    BurnWindow.SIX_HOURS: '6 h',
-    BurnWindow.THREE_DAYS: '3 d',
+    BurnWindow.FIVE_MINUTES: '5m',
+    BurnWindow.HALF_HOUR: '30m',
+    BurnWindow.HOUR: '1h',
+    BurnWindow.SIX_HOURS: '6h',
+    BurnWindow.THREE_DAYS: '3d',
 }
 
 
--- a/anvilthread/settings/settings_reader.py
+++ b/anvilthread/settings/settings_reader.py
@@ -20,6 +20,8 @@
 SettingsT = TypeVar('SettingsT', bound=NodeSettings)
 
 _NO_VALUE: Final = object()
+#: Lower values suggest keys that have only a few letters in common.
+_SIMILARITY: Final = 0.75
 
 
 class SettingsReader(Generic[SettingsT]):
@@ -89,10 +91,12 @@
                 yield reader.fault(key, 'is not a known key', self._hint(key))
 
     def _hint(self, key: str) -> str:
-        close = difflib.get_close_matches(key, self._types, n=1)
+        close = difflib.get_close_matches(
+            key, self._types, n=1, cutoff=_SIMILARITY
+        )
         if close:
             return f'write `{close[0]}` or remove it'
-        return f'remove it; known keys are {", ".join(self._types)}'
+        return 'remove it; docs/operators.md lists the keys'
 
 
 def read_balancer_settings(
--- /dev/null
+++ b/tests/commands/test_config_commands.py
@@ -0,0 +1,111 @@
+"""Configuration commands over a stand-in for the configuration part."""
+
+import json
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import TypeVar
+
+import pytest
+from result import Err, Ok, Result
+from syrupy.assertion import SnapshotAssertion
+
+from anvilthread.commands import connections
+from anvilthread.commands.configuration_gateway import RevisionSummary
+from anvilthread.commands.exit_code import ExitCode
+from anvilthread.error import AnvilthreadError
+
+Command = Callable[..., tuple[int, str, str]]
+ValueT = TypeVar('ValueT')
+STORE = ('--store', 'http://10.1.0.5:8500')
+REVISION = RevisionSummary(
+    revision=8, change_id='c-8', operator='ama', wall_ms=1_700_000_000_000
+)
+
+
+class _Gateway:
+    """Answers that a test chooses."""
+
+    def __init__(self) -> None:
+        self.error: AnvilthreadError | None = None
+        self.changes = ''
+
+    def check(self, directory: Path) -> Result[Sequence[str], AnvilthreadError]:
+        """Two sites."""
+        return self._answer(['kgn-a', 'kgn-b'])
+
+    def apply(
+        self, directory: Path, *, operator: str
+    ) -> Result[RevisionSummary, AnvilthreadError]:
+        """The next revision."""
+        return self._answer(REVISION)
+
+    def show(self, *, site: str) -> Result[str, AnvilthreadError]:
+        """A text that names the site."""
+        return self._answer(f'site = "{site}"')
+
+    def diff(self, directory: Path) -> Result[str, AnvilthreadError]:
+        """The changes of the test."""
+        return self._answer(self.changes)
+
+    def history(self) -> Result[Sequence[RevisionSummary], AnvilthreadError]:
+        """One revision."""
+        return self._answer([REVISION])
+
+    def _answer(self, value: ValueT) -> Result[ValueT, AnvilthreadError]:
+        return Ok(value) if self.error is None else Err(self.error)
+
+
+@pytest.fixture
+def gateway(monkeypatch: pytest.MonkeyPatch) -> _Gateway:
+    """A gateway that the commands open."""
+    made = _Gateway()
+    monkeypatch.setattr(connections, 'open_configuration', lambda store: made)
+    return made
+
+
+@pytest.mark.parametrize(
+    ('arguments', 'failure'),
+    [
+        (('check', 'd'), ExitCode.PROBLEM_FOUND),
+        (('apply', 'd', *STORE), ExitCode.REFUSED),
+        (('show', *STORE), ExitCode.NO_ANSWER),
+        (('diff', 'd', *STORE), ExitCode.NO_ANSWER),
+        (('history', *STORE), ExitCode.NO_ANSWER),
+    ],
+)
+def test_success_and_failure(
+    arguments: tuple[str, ...],
+    failure: ExitCode,
+    gateway: _Gateway,
+    command: Command,
+) -> None:
+    """Guards against a refused change that a script takes for applied."""
+    assert command('config', *arguments)[0] == 0
+    gateway.error = AnvilthreadError(reason='revision 9 won', remedy='diff')
+    code, out, err = command('config', *arguments)
+    assert (code, out, err) == (failure, '', 'error: revision 9 won; diff\n')
+
+
+def test_diff_tells_whether_something_changes(
+    gateway: _Gateway, command: Command
+) -> None:
+    """Guards against an apply that nobody was warned about."""
+    assert command('config', 'diff', 'd', *STORE) == (0, '', '')
+    gateway.changes = '-slots = 1\n+slots = 2'
+    code, out, _ = command('config', 'diff', 'd', *STORE)
+    assert (code, out) == (ExitCode.PROBLEM_FOUND, f'{gateway.changes}\n')
+
+
+def test_outputs(
+    gateway: _Gateway, command: Command, snapshot: SnapshotAssertion
+) -> None:
+    """Guards against outputs without the revision or its operator."""
+    outputs = [
+        command('config', 'check', 'd')[1],
+        command('config', 'apply', 'd', *STORE)[1],
+        command('config', 'show', *STORE, '--site', 'kgn-a')[1],
+        command('config', 'history', *STORE)[1],
+    ]
+    assert '\n'.join(outputs) == snapshot
+    listed = json.loads(command('config', 'history', *STORE, '--json')[1])
+    assert listed[0]['revision'] == 8
--- a/tests/operation/test_operation.py
+++ b/tests/operation/test_operation.py
@@ -1,6 +1,6 @@
 """Operations between an operator and a node over a faulty network."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
@@ -8,80 +8,36 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from result import Err, Ok, Result
+from result import Ok
 
 from anvilthread.address import Address
 from anvilthread.clock import ManualClock
 from anvilthread.operation import (
-    NodeStatus,
     OperationAnswerError,
     OperationClient,
     OperationError,
     OperationRefusedError,
     OperationServer,
     OperationTimeoutError,
-    TargetStatus,
 )
 from anvilthread.operation.answers import RefusalAnswer, TargetsAnswer
 from anvilthread.operation.envelope import MAGIC, pack, unpack
 from anvilthread.telemetry import MemoryLog
 from anvilthread.transport import Received
 from standins.memory_network import MemoryNetwork
+from standins.node_with_operations import NodeWithOperations, target_status
 
 NODE = Address(host='10.1.0.21', port=7947)
 OPERATOR = Address(host='10.1.0.99', port=9)
 
 
-class _Operations:
-    """A node that counts its drains."""
-
-    def __init__(self) -> None:
-        self.drains = 0
-        self.known: list[TargetStatus] = []
-
-    def status(self) -> NodeStatus:
-        """The status, draining after the first drain."""
-        return NodeStatus(
-            name='agent-1',
-            role='agent',
-            site='kgn-a',
-            state='draining' if self.drains else 'alive',
-            control='10.1.0.21:7946',
-            request=str(NODE),
-            incarnation=5,
-            uptime_ms=60_000,
-            revision=12,
-            members={'alive': 3},
-        )
-
-    def targets(self) -> Sequence[TargetStatus]:
-        """Every known target."""
-        return self.known
-
-    def drain(self, operator: str) -> Result[NodeStatus, OperationRefusedError]:
-        """Starts or repeats the drain."""
-        self.drains += 1
-        return Ok(self.status())
-
-    def undrain(
-        self, operator: str
-    ) -> Result[NodeStatus, OperationRefusedError]:
-        """Refuses."""
-        return Err(
-            OperationRefusedError(
-                reason='a drain cannot be undone',
-                remedy='start a new agent',
-            )
-        )
-
-
 class _Scene:
     """A client and a node on one virtual clock."""
 
     def __init__(self, *, seed: int = 1) -> None:
         self.clock = ManualClock()
         self.network = MemoryNetwork(clock=self.clock, random=Random(seed))
-        self.operations = _Operations()
+        self.operations = NodeWithOperations()
         self.log = MemoryLog()
         self.server = OperationServer(
             transport=self.network.transport(NODE),
@@ -129,7 +85,7 @@
     error = scene.run(lambda: scene.client.drain(NODE, operator='ama'))
     assert isinstance(error.unwrap_err(), OperationTimeoutError)
     assert str(NODE) in error.unwrap_err().reason
-    assert scene.operations.drains == 4
+    assert len(scene.operations.drained_by) == 4
 
 
 def test_refusal_carries_reason_and_remedy() -> None:
@@ -145,17 +101,7 @@
 def test_targets_come_in_pages_without_gaps(count: int) -> None:
     """Guards against targets missing or doubled at a page boundary."""
     scene = _Scene()
-    scene.operations.known = [
-        TargetStatus(
-            control=f'10.1.{number % 9}.{number}:7946',
-            request=f'10.1.{number % 9}.{number}:7947',
-            site='kgn-a',
-            services=('stock',),
-            state='alive',
-            slots=1,
-        )
-        for number in range(count)
-    ]
+    scene.operations.known = [target_status(item) for item in range(count)]
     outcome = scene.run(lambda: scene.client.targets(NODE))
     expected = sorted(target.control for target in scene.operations.known)
     assert [target.control for target in outcome.unwrap()] == expected
--- a/tests/reports/test_burn.py
+++ b/tests/reports/test_burn.py
@@ -235,10 +235,13 @@
 
 
 def test_table(snapshot: SnapshotAssertion) -> None:
-    """Guards against columns that an operator cannot read at 100 columns."""
+    """Guards against columns that an operator cannot read at 80 columns."""
     stream = io.StringIO()
-    print_report(_example(), Console(file=stream, width=100, color_system=None))
-    assert stream.getvalue() == snapshot
+    print_report(_example(), Console(file=stream, width=80, color_system=None))
+    text = stream.getvalue()
+    assert text == snapshot
+    for heading in ('alert', 'objective', 'bad / events', '5m', '3d'):
+        assert heading in text
 
 
 def test_page(snapshot: SnapshotAssertion) -> None:
