--- /dev/null
+++ b/anvilthread/membership/member_index.py
@@ -0,0 +1,96 @@
+"""Indexes of the member table."""
+
+from typing import TypeVar
+
+from anvilthread.address import Address
+from anvilthread.membership.member import Member
+from anvilthread.membership.member_pool import MemberPool
+from anvilthread.membership.role import Role
+
+_Key = TypeVar('_Key')
+
+
+class MemberIndex:
+    """Control addresses by service, role, site and data address."""
+
+    __slots__ = ('_agents', '_balancers', '_data', '_live', '_sites')
+
+    def __init__(self) -> None:
+        self._live = MemberPool()
+        self._balancers = MemberPool()
+        self._agents: dict[int, MemberPool] = {}
+        self._sites: dict[str, MemberPool] = {}
+        self._data: dict[Address, Member] = {}
+
+    @property
+    def live(self) -> MemberPool:
+        """Members that are not dead or gone."""
+        return self._live
+
+    @property
+    def balancers(self) -> MemberPool:
+        """Balancers that take work."""
+        return self._balancers
+
+    def agents(self, service: int) -> MemberPool:
+        """Agents of a service that take work."""
+        return self._agents.get(service) or MemberPool()
+
+    def site(self, site: str) -> MemberPool:
+        """Members of a site that are not dead or gone."""
+        return self._sites.get(site) or MemberPool()
+
+    def by_data_address(self, data_address: Address) -> Member | None:
+        """Returns the member with a data address, in any state."""
+        return self._data.get(data_address)
+
+    def add(self, member: Member) -> None:
+        """Adds a member to the indexes that its state allows."""
+        holder = self._data.get(member.data_address)
+        if holder is None or _supersedes(member, holder):
+            self._data[member.data_address] = member
+        if not member.is_live:
+            return
+        self._live.add(member.control_address)
+        site = self._sites.setdefault(member.site, MemberPool())
+        site.add(member.control_address)
+        if member.takes_work:
+            self._add_worker(member)
+
+    def remove(self, member: Member) -> None:
+        """Removes a member from all indexes."""
+        holder = self._data.get(member.data_address)
+        if holder and holder.control_address == member.control_address:
+            self._data.pop(member.data_address)
+        self._live.discard(member.control_address)
+        self._balancers.discard(member.control_address)
+        _discard(self._sites, member.site, member.control_address)
+        for service in member.services:
+            _discard(self._agents, service, member.control_address)
+
+    def _add_worker(self, member: Member) -> None:
+        if member.role == Role.BALANCER:
+            self._balancers.add(member.control_address)
+            return
+        for service in member.services:
+            pool = self._agents.setdefault(service, MemberPool())
+            pool.add(member.control_address)
+
+
+def _supersedes(member: Member, holder: Member) -> bool:
+    # A data address may be reused by a VM with another control address.
+    return (member.is_live, member.incarnation) >= (
+        holder.is_live,
+        holder.incarnation,
+    )
+
+
+def _discard(
+    pools: dict[_Key, MemberPool], key: _Key, address: Address
+) -> None:
+    pool = pools.get(key)
+    if pool is None:
+        return
+    pool.discard(address)
+    if not pool:
+        pools.pop(key)
--- /dev/null
+++ b/anvilthread/membership/suspicion_monitor.py
@@ -0,0 +1,48 @@
+"""Decides when suspected members are dead."""
+
+from anvilthread.membership.member import Member
+from anvilthread.membership.node_context import NodeContext
+from anvilthread.membership.pinger import Pinger
+from anvilthread.membership.suspicion import Suspicion
+from anvilthread.membership.witnesses import Witnesses
+
+
+class SuspicionMonitor:
+    """Probes suspected members again until they are due.
+
+    Args:
+        context: Shared parts of the node.
+        pinger: Sends the pings.
+        witnesses: Must have answered since the suspicion began.
+    """
+
+    __slots__ = ('_context', '_pinger', '_witnesses')
+
+    def __init__(
+        self, context: NodeContext, pinger: Pinger, witnesses: Witnesses
+    ) -> None:
+        self._context = context
+        self._pinger = pinger
+        self._witnesses = witnesses
+
+    def run(self) -> None:
+        """Checks all suspicions once."""
+        for address, suspicion in self._context.suspicions.current:
+            member = self._context.table.get(address)
+            if member is not None:
+                self._check(member, suspicion)
+
+    def _check(self, member: Member, suspicion: Suspicion) -> None:
+        context = self._context
+        now_ms = context.clock.now_ms()
+        if suspicion.must_ask(now_ms):
+            self._pinger.ping(member)
+            context.contact.want(member.site)
+        if now_ms < suspicion.due_ms(len(context.table.index.live)):
+            return
+        since_ms = suspicion.probed_ms or suspicion.since_ms
+        if self._witnesses.exist(member, since_ms):
+            context.updater.declare_dead(member)
+            context.outbox.spread()
+        else:
+            context.contact.want(member.site)
--- /dev/null
+++ b/anvilthread/membership/sync_responder.py
@@ -0,0 +1,64 @@
+"""Answers to the comparisons that peers open."""
+
+from anvilthread.address import Address
+from anvilthread.membership.digest import differing
+from anvilthread.membership.node_context import NodeContext
+from anvilthread.membership.outbox import LIST_BYTES
+from anvilthread.membership.sync_messages import (
+    SyncBuckets,
+    SyncGroups,
+    SyncRoot,
+    SyncSummary,
+)
+from anvilthread.membership.wire import Change
+
+
+class SyncResponder:
+    """Tells peers in which buckets its table differs from theirs.
+
+    Args:
+        context: Shared parts of the node.
+    """
+
+    __slots__ = ('_context',)
+
+    def __init__(self, context: NodeContext) -> None:
+        self._context = context
+
+    def on_root(self, sender: Address, message: SyncRoot) -> None:
+        """Answers with the digests of the groups if the roots differ."""
+        digest = self._context.table.digest
+        groups = None if message.root == digest.root else digest.groups
+        reply = SyncGroups(round=message.round, groups=groups)
+        self._context.outbox.send_limited(sender, reply)
+
+    def on_buckets(self, sender: Address, message: SyncBuckets) -> None:
+        """Lists the members of buckets that differ, as far as they fit."""
+        context = self._context
+        buckets = differing(
+            context.table.digest.buckets(message.group), message.buckets
+        )
+        context.random.shuffle(buckets)
+        room = LIST_BYTES
+        listed: list[int] = []
+        summaries: list[Change] = []
+        for bucket in buckets:
+            changes = self._changes(message.group, bucket)
+            room -= sum(context.outbox.size(change) for change in changes)
+            if room < 0:
+                break
+            listed.append(bucket)
+            summaries.extend(changes)
+        reply = SyncSummary(
+            round=message.round,
+            group=message.group,
+            listed=tuple(listed),
+            summaries=tuple(summaries),
+        )
+        context.outbox.send_limited(sender, reply)
+
+    def _changes(self, group: int, bucket: int) -> list[Change]:
+        table = self._context.table
+        addresses = table.digest.addresses(group, bucket)
+        members = filter(None, map(table.get, addresses))
+        return [Change.of(member) for member in members]
--- /dev/null
+++ b/standins/pausable_clock.py
@@ -0,0 +1,45 @@
+"""A clock of one process that can be paused."""
+
+from gevent.event import Event
+
+from anvilthread.clock import ManualClock
+
+
+class PausableClock:
+    """Suspends the tasks of one process, as a stopped VM does.
+
+    Args:
+        clock: The clock that all processes share.
+    """
+
+    def __init__(self, clock: ManualClock) -> None:
+        self._clock = clock
+        self._resumes_ms = 0
+
+    def pause(self, duration_ms: int) -> None:
+        """Keeps every task of the process from running for a time."""
+        self._resumes_ms = self._clock.now_ms() + duration_ms
+
+    def now_ms(self) -> int:
+        """Monotonic time, which goes on during a pause."""
+        return self._clock.now_ms()
+
+    def wall_ms(self) -> int:
+        """Time since the Unix epoch."""
+        return self._clock.wall_ms()
+
+    def sleep_ms(self, duration_ms: float) -> None:
+        """Suspends the calling task, at least until the pause ends."""
+        self._clock.sleep_ms(duration_ms)
+        self.hold()
+
+    def wait(self, event: Event, timeout_ms: float) -> bool:
+        """Waits for an event, at least until the pause ends."""
+        self._clock.wait(event, timeout_ms)
+        self.hold()
+        return event.is_set()
+
+    def hold(self) -> None:
+        """Blocks the calling task until the pause ends."""
+        while self._clock.now_ms() < self._resumes_ms:
+            self._clock.sleep_ms(self._resumes_ms - self._clock.now_ms())
--- /dev/null
+++ b/standins/pausable_transport.py
@@ -0,0 +1,41 @@
+"""A transport of one process that can be paused."""
+
+from anvilthread.address import Address
+from anvilthread.transport import Received, Transport
+from standins.pausable_clock import PausableClock
+
+
+class PausableTransport:
+    """Keeps arriving messages while its process is paused.
+
+    Args:
+        transport: The transport behind it.
+        clock: Clock of the process.
+    """
+
+    def __init__(self, transport: Transport, clock: PausableClock) -> None:
+        self._transport = transport
+        self._clock = clock
+        self.bytes_sent = 0
+        self.largest = 0
+
+    @property
+    def address(self) -> Address:
+        """Address at which this node receives."""
+        return self._transport.address
+
+    def send(self, address: Address, payload: bytes) -> None:
+        """Sends and counts."""
+        self.bytes_sent += len(payload)
+        self.largest = max(self.largest, len(payload))
+        self._transport.send(address, payload)
+
+    def receive(self) -> Received:
+        """Blocks until a message arrives and the process runs."""
+        received = self._transport.receive()
+        self._clock.hold()
+        return received
+
+    def close(self) -> None:
+        """Detaches this node from the network."""
+        self._transport.close()
