Probe the next member on a ring in every period

One probe per period now goes to the next member in hash order, and about six nodes probe a member as soon as they hear that it is suspected.

--- a/anvilthread/membership/member_index.py
+++ b/anvilthread/membership/member_index.py
@@ -5,6 +5,7 @@
 from anvilthread.address import Address
 from anvilthread.membership.member import Member
 from anvilthread.membership.member_pool import MemberPool
+from anvilthread.membership.member_ring import MemberRing
 from anvilthread.membership.role import Role
 
 _Key = TypeVar('_Key')
@@ -13,10 +14,11 @@
 class MemberIndex:
     """Control addresses by service, role, site and data address."""
 
-    __slots__ = ('_agents', '_balancers', '_data', '_live', '_sites')
+    __slots__ = ('_agents', '_balancers', '_data', '_live', '_ring', '_sites')
 
     def __init__(self) -> None:
         self._live = MemberPool()
+        self._ring = MemberRing()
         self._balancers = MemberPool()
         self._agents: dict[int, MemberPool] = {}
         self._sites: dict[str, MemberPool] = {}
@@ -27,6 +29,11 @@
         """Members that are not dead or gone."""
         return self._live
 
+    @property
+    def ring(self) -> MemberRing:
+        """The same members in a circle."""
+        return self._ring
+
     @property
     def balancers(self) -> MemberPool:
         """Balancers that take work."""
@@ -52,6 +59,7 @@
         if not member.is_live:
             return
         self._live.add(member.control_address)
+        self._ring.add(member.control_address)
         site = self._sites.setdefault(member.site, MemberPool())
         site.add(member.control_address)
         if member.takes_work:
@@ -63,6 +71,7 @@
         if holder and holder.control_address == member.control_address:
             self._data.pop(member.data_address)
         self._live.discard(member.control_address)
+        self._ring.discard(member.control_address)
         self._balancers.discard(member.control_address)
         _discard(self._sites, member.site, member.control_address)
         for service in member.services:
--- a/anvilthread/membership/membership_node.py
+++ b/anvilthread/membership/membership_node.py
@@ -151,6 +151,7 @@
         )
         context.table.subscribe(tombstones.on_change)
         self._prober = Prober(context, pinger, witnesses)
+        context.suspicions.subscribe(self._prober.confirm)
         self._synchroniser = Synchroniser(context)
         self._joiner = Joiner(
             context=context,
--- a/anvilthread/membership/membership_settings.py
+++ b/anvilthread/membership/membership_settings.py
@@ -10,10 +10,10 @@
     Lifeguard rules say so.
     """
 
-    #: Time between two rounds of probes, and probes per round. Every member
-    #: is probed 8 times per second on average, at any number of members.
+    #: Time between two rounds of probes: one of the next member on the ring
+    #: and some of random members.
     probe_period_ms: int = 250
-    probes_per_period: int = 2
+    random_probes: int = 1
 
     #: Wait for a direct answer, on top of twice the site's round trip.
     ack_timeout_ms: int = 100
@@ -28,6 +28,10 @@
     suspicion_max_ms: int = 1000
     suspicion_confirmations: int = 2
 
+    #: Number of nodes, on average, that probe a member as soon as they hear
+    #: that it is suspected.
+    confirming_nodes: int = 6
+
     #: Time to death at a node that has not probed the member itself; covers
     #: the loss of the announcement by those that have.
     suspicion_fallback_ms: int = 4000
--- a/anvilthread/membership/prober.py
+++ b/anvilthread/membership/prober.py
@@ -1,7 +1,8 @@
-"""Probing of random members."""
+"""Periodic probes of other members."""
 
 from enum import Enum
 
+from anvilthread.address import Address
 from anvilthread.membership.exchange import Exchange
 from anvilthread.membership.member import Member
 from anvilthread.membership.node_context import NodeContext
@@ -23,7 +24,7 @@
 
 
 class Prober:
-    """Probes a few random members in every period.
+    """Probes the next member on the ring and random others.
 
     Args:
         context: Shared parts of the node.
@@ -47,15 +48,25 @@
         # Nodes that start together must not probe in step.
         first_ms = context.random.uniform(0, settings.probe_period_ms)
         context.clock.sleep_ms(first_ms)
+        own_address = context.own.member.control_address
         while True:
-            for _ in range(settings.probes_per_period):
-                self._start_probe()
+            # Its predecessor finds a dead member within one period; random
+            # probes cover a predecessor that is slow or dead itself.
+            self._start_probe(context.table.index.ring.successor(own_address))
+            for _ in range(settings.random_probes):
+                self._start_probe(context.table.index.live.draw(context.random))
             period_ms = settings.probe_period_ms * context.health.multiplier
             context.clock.sleep_ms(period_ms)
 
-    def _start_probe(self) -> None:
+    def confirm(self, address: Address) -> None:
+        """Probes a member that a peer suspects, at a few nodes only."""
+        context = self._context
+        share = context.settings.confirming_nodes / len(context.table)
+        if context.random.random() < share:
+            self._start_probe(address)
+
+    def _start_probe(self, address: Address | None) -> None:
         context = self._context
-        address = context.table.index.live.draw(context.random)
         member = None if address is None else context.table.get(address)
         if member is None or address == context.own.member.control_address:
             return
--- a/anvilthread/membership/suspicions.py
+++ b/anvilthread/membership/suspicions.py
@@ -1,5 +1,7 @@
 """The members that this node suspects."""
 
+from collections.abc import Callable
+
 from anvilthread.address import Address
 from anvilthread.clock import Clock
 from anvilthread.membership.member import Member
@@ -16,15 +18,17 @@
         settings: Suspicion times.
     """
 
-    __slots__ = ('_clock', '_settings', '_suspicions')
+    __slots__ = ('_clock', '_listeners', '_settings', '_suspicions')
 
     def __init__(self, *, clock: Clock, settings: MembershipSettings) -> None:
         self._clock = clock
         self._settings = settings
         self._suspicions: dict[Address, Suspicion] = {}
+        self._listeners: list[Callable[[Address], None]] = []
 
-    def __len__(self) -> int:
-        return len(self._suspicions)
+    def subscribe(self, listener: Callable[[Address], None]) -> None:
+        """Calls a listener when a member becomes suspected."""
+        self._listeners.append(listener)
 
     @property
     def current(self) -> list[tuple[Address, Suspicion]]:
@@ -46,6 +50,8 @@
                 settings=self._settings,
             )
             self._suspicions[address] = suspicion
+            for listener in self._listeners:
+                listener(address)
         return suspicion.add(reporter)
 
     def on_change(self, change: MemberChange) -> None:
