Add the ZeroMQ transport and its channels

Nodes exchange configurations, handovers and operator requests over one encrypted transport: a ROUTER that receives and a DEALER per peer that is created on demand and closed when idle. All nodes hold the same CURVE key pair. A second accepted pair allows a rotation: a sender tries the accepted server keys in turn, and the receiver accepts the client keys of all pairs.

The authenticator of pyzmq answers the ZAP requests; its threaded and asyncio wrappers were ruled out because they do not run under gevent. The client side notices a refusal through the socket monitor, because a server cannot name a client whose handshake it cannot decrypt.

Queues are bounded everywhere; a message that does not fit is counted and lost.

--- /dev/null
+++ b/tests/transport/test_zmq_transport.py
@@ -0,0 +1,203 @@
+"""ZeroMQ transport: delivery, keys, limits and idle connections."""
+
+from collections.abc import Callable, Iterator
+
+import gevent
+import pytest
+from zmq import green as zmq
+from absl import logging
+
+from anvilthread.address import Address
+from anvilthread.clock import SystemClock
+from anvilthread.transport import (
+    MAX_MESSAGE_SIZE,
+    CurveKeyError,
+    CurveKeyPair,
+    TransportBindError,
+    ZmqTransport,
+)
+
+_LOCAL = Address(host='127.0.0.1', port=0)
+_OLD = CurveKeyPair.generate()
+_NEW = CurveKeyPair.generate()
+
+Opener = Callable[..., ZmqTransport]
+
+
+@pytest.fixture
+def opened() -> Iterator[Opener]:
+    """Opens transports and closes them after the test."""
+    transports: list[ZmqTransport] = []
+
+    def opener(*keys: CurveKeyPair, **limits: int) -> ZmqTransport:
+        transport = ZmqTransport(
+            address=_LOCAL, keys=keys, clock=SystemClock(), **limits
+        )
+        transports.append(transport)
+        return transport
+
+    yield opener
+    for transport in transports:
+        transport.close()
+
+
+def _until(condition: Callable[[], bool]) -> None:
+    with gevent.Timeout(10):
+        while not condition():
+            gevent.sleep(0.01)
+
+
+def _receive(transport: ZmqTransport, sender: ZmqTransport) -> bytes:
+    # A message queued while a wrong key was tried is lost, so it is repeated.
+    with gevent.Timeout(10):
+        reader = gevent.spawn(transport.receive)
+        while not reader.ready():
+            sender.send(transport.address, b'hello')
+            gevent.sleep(0.05)
+    assert reader.value.sender == sender.address
+    return reader.value.payload
+
+
+def test_messages_go_both_ways(opened: Opener) -> None:
+    """Guards against a sender that cannot be answered."""
+    one, two = opened(_OLD), opened(_OLD)
+    one.send(two.address, b'question')
+    with gevent.Timeout(10):
+        question = two.receive()
+        two.send(question.sender, b'answer')
+        answer = one.receive()
+    assert (question.sender, question.payload) == (one.address, b'question')
+    assert (answer.sender, answer.payload) == (two.address, b'answer')
+
+
+@pytest.mark.parametrize(
+    ('sender_keys', 'receiver_keys'),
+    [
+        ((_OLD, _NEW), (_OLD,)),
+        ((_OLD, _NEW), (_NEW, _OLD)),
+        ((_NEW, _OLD), (_OLD, _NEW)),
+        ((_NEW,), (_NEW, _OLD)),
+    ],
+)
+def test_keys_are_rotated_without_a_gap(
+    opened: Opener,
+    sender_keys: tuple[CurveKeyPair, ...],
+    receiver_keys: tuple[CurveKeyPair, ...],
+) -> None:
+    """Guards against nodes that lose contact in the middle of a rotation."""
+    receiver = opened(*receiver_keys)
+    assert _receive(receiver, opened(*sender_keys)) == b'hello'
+
+
+@pytest.mark.parametrize(
+    'receiver_keys', [(_OLD,), (_OLD, CurveKeyPair.generate())]
+)
+def test_wrong_keys_are_refused_with_a_remedy(
+    opened: Opener,
+    receiver_keys: tuple[CurveKeyPair, ...],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a stranger's messages and against a silent refusal."""
+    lines: list[str] = []
+    monkeypatch.setattr(
+        logging, 'warning', lambda text, *rest: lines.append(text % rest)
+    )
+    stranger, receiver = opened(_NEW), opened(*receiver_keys)
+    reader = gevent.spawn(receiver.receive)
+    stranger.send(receiver.address, b'forged')
+    _until(lambda: bool(lines))
+    gevent.sleep(0.5)
+    assert not reader.ready()
+    assert len(lines) == 1
+    assert f'peer={receiver.address}' in lines[0]
+    assert 'remedy="give both nodes the same CURVE keys' in lines[0]
+    reader.kill()
+
+
+def test_unknown_client_key_is_refused(
+    opened: Opener, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against accepting whoever knows only the public key."""
+    lines: list[str] = []
+    monkeypatch.setattr(
+        logging, 'warning', lambda text, *rest: lines.append(text % rest)
+    )
+    receiver = opened(_OLD)
+    reader = gevent.spawn(receiver.receive)
+    context = zmq.Context()
+    client = context.socket(zmq.DEALER)
+    client.curve_serverkey = _OLD.public
+    client.curve_publickey, client.curve_secretkey = _NEW.public, _NEW.secret
+    client.connect(f'tcp://{receiver.address}')
+    client.send(b'forged')
+    _until(lambda: bool(lines))
+    gevent.sleep(0.3)
+    context.destroy(linger=0)
+    assert not reader.ready()
+    assert len(lines) == 1
+    assert 'event=curve_client_refused' in lines[0]
+    reader.kill()
+
+
+def test_idle_peers_are_closed_and_reopened(opened: Opener) -> None:
+    """Guards against sockets that pile up while members come and go."""
+    one, two = opened(_OLD, idle_ms=100), opened(_OLD)
+    assert _receive(two, one) == b'hello'
+    _until(lambda: one.peer_count == 0)
+    assert _receive(two, one) == b'hello'
+
+
+def test_unreachable_peer_does_not_block(opened: Opener) -> None:
+    """Guards against a dead peer that holds up its senders."""
+    transport = opened(_OLD, queue_limit=8)
+    gone = Address(host='127.0.0.1', port=1)
+    for _ in range(50):
+        transport.send(gone, b'payload')
+    assert transport.lost_count == 50 - 8
+    transport.send(gone, bytes(MAX_MESSAGE_SIZE + 1))
+    assert transport.lost_count == 50 - 7
+
+
+def test_restarted_node_can_connect_again(opened: Opener) -> None:
+    """Guards against a restarted node that is mistaken for a duplicate."""
+    receiver, first = opened(_OLD), opened(_OLD)
+    assert _receive(receiver, first) == b'hello'
+    address = first.address
+    first.close()
+    second = ZmqTransport(address=address, keys=(_OLD,), clock=SystemClock())
+    try:
+        assert _receive(receiver, second) == b'hello'
+    finally:
+        second.close()
+
+
+@pytest.mark.parametrize(
+    ('routing_id', 'frames'),
+    [(b'short', [b'x']), (b'longer-id', [b'x']), (b'sixsix', [b'x', b'y'])],
+)
+def test_malformed_frames_are_counted(
+    opened: Opener, routing_id: bytes, frames: list[bytes]
+) -> None:
+    """Guards against a reader that stops at an unexpected message."""
+    receiver = opened(_OLD)
+    context = zmq.Context()
+    client = context.socket(zmq.DEALER)
+    client.routing_id = routing_id
+    client.curve_serverkey = _OLD.public
+    client.curve_publickey, client.curve_secretkey = _OLD.public, _OLD.secret
+    client.connect(f'tcp://{receiver.address}')
+    client.send_multipart(frames)
+    _until(lambda: receiver.malformed_count == 1)
+    context.destroy(linger=0)
+    assert _receive(receiver, opened(_OLD)) == b'hello'
+
+
+def test_settings_errors_name_the_remedy(opened: Opener) -> None:
+    """Guards against a start-up failure that does not say what to do."""
+    with pytest.raises(CurveKeyError, match='give every node the same pair'):
+        opened()
+    with pytest.raises(CurveKeyError, match='generate a new pair'):
+        CurveKeyPair(public=_OLD.public, secret=_NEW.secret)
+    taken = opened(_OLD).address
+    with pytest.raises(TransportBindError, match='choose a free'):
+        ZmqTransport(address=taken, keys=(_OLD,), clock=SystemClock())
