Test that a restarted node replaces a connection that is still open

The former test closed the old connection first, so it passed without the router's handover option. It now keeps the old one open, and was seen to fail without the option.

--- a/tests/transport/test_zmq_transport.py
+++ b/tests/transport/test_zmq_transport.py
@@ -58,6 +58,18 @@
     return reader.value.payload
 
 
+def _raw_client(
+    receiver: ZmqTransport, routing_id: bytes, pair: CurveKeyPair
+) -> tuple[zmq.Context, zmq.Socket]:
+    context = zmq.Context()
+    client = context.socket(zmq.DEALER)
+    client.routing_id = routing_id
+    client.curve_serverkey = _OLD.public
+    client.curve_publickey, client.curve_secretkey = pair.public, pair.secret
+    client.connect(f'tcp://{receiver.address}')
+    return context, client
+
+
 def test_messages_go_both_ways(opened: Opener) -> None:
     """Guards against a sender that cannot be answered."""
     one, two = opened(_OLD), opened(_OLD)
@@ -124,11 +136,7 @@
     )
     receiver = opened(_OLD)
     reader = gevent.spawn(receiver.receive)
-    context = zmq.Context()
-    client = context.socket(zmq.DEALER)
-    client.curve_serverkey = _OLD.public
-    client.curve_publickey, client.curve_secretkey = _NEW.public, _NEW.secret
-    client.connect(f'tcp://{receiver.address}')
+    context, client = _raw_client(receiver, b'sixsix', _NEW)
     client.send(b'forged')
     _until(lambda: bool(lines))
     gevent.sleep(0.3)
@@ -160,15 +168,13 @@
 
 def test_restarted_node_can_connect_again(opened: Opener) -> None:
     """Guards against a restarted node that is mistaken for a duplicate."""
-    receiver, first = opened(_OLD), opened(_OLD)
-    assert _receive(receiver, first) == b'hello'
-    address = first.address
-    first.close()
-    second = ZmqTransport(address=address, keys=(_OLD,), clock=SystemClock())
-    try:
-        assert _receive(receiver, second) == b'hello'
-    finally:
-        second.close()
+    receiver, restarted = opened(_OLD), opened(_OLD)
+    context, before = _raw_client(receiver, restarted.address.pack(), _OLD)
+    before.send(b'before')
+    with gevent.Timeout(10):
+        assert receiver.receive().payload == b'before'
+    assert _receive(receiver, restarted) == b'hello'
+    context.destroy(linger=0)
 
 
 @pytest.mark.parametrize(
@@ -180,12 +186,7 @@
 ) -> None:
     """Guards against a reader that stops at an unexpected message."""
     receiver = opened(_OLD)
-    context = zmq.Context()
-    client = context.socket(zmq.DEALER)
-    client.routing_id = routing_id
-    client.curve_serverkey = _OLD.public
-    client.curve_publickey, client.curve_secretkey = _OLD.public, _OLD.secret
-    client.connect(f'tcp://{receiver.address}')
+    context, client = _raw_client(receiver, routing_id, _OLD)
     client.send_multipart(frames)
     _until(lambda: receiver.malformed_count == 1)
     context.destroy(linger=0)
