Add the store client, the store stand-in and its in-memory fake

The Store protocol has compare-and-swap, watches and leases. Its error types tell a write that had no effect (conflict, refused, unavailable) from one whose answer was lost and which may still take effect.

ConsulStore speaks the Consul KV HTTP API through urllib3. The library blocks its thread, so calls run in gevent thread pools; overriding the connection class of urllib3 with gevent sockets was ruled out because it needs a private method. Watches have their own threads, so that waiting ones hold up no call. A server error to a write counts as a lost answer, since the store may have passed the write on before it failed.

The stand-in serves that API from gevent.pywsgi with the platform's rates and switchable faults; the fake shares its state and rules on virtual time.

--- /dev/null
+++ b/anvilthread/store/__init__.py
@@ -0,0 +1,31 @@
+"""The platform's key-value store."""
+
+from anvilthread.store.call_counts import CallCounts
+from anvilthread.store.call_kind import CallKind
+from anvilthread.store.consul_store import ConsulStore
+from anvilthread.store.fence import Fence
+from anvilthread.store.lease import Lease
+from anvilthread.store.snapshot import Snapshot
+from anvilthread.store.store import Store
+from anvilthread.store.store_error import (
+    StoreAnswerLost,
+    StoreConflict,
+    StoreError,
+    StoreRefused,
+    StoreUnavailable,
+)
+
+__all__ = (
+    'CallCounts',
+    'CallKind',
+    'ConsulStore',
+    'Fence',
+    'Lease',
+    'Snapshot',
+    'Store',
+    'StoreAnswerLost',
+    'StoreConflict',
+    'StoreError',
+    'StoreRefused',
+    'StoreUnavailable',
+)
--- /dev/null
+++ b/anvilthread/store/snapshot.py
@@ -0,0 +1,17 @@
+"""What the store holds under one key."""
+
+from msgspec import Struct
+
+
+class Snapshot(Struct, frozen=True, kw_only=True):
+    """Value of one key at one time.
+
+    Attributes:
+        value: The bytes, or None if the key does not exist.
+        revision: Number to give to a compare-and-swap; 0 if there is no value.
+        index: Number to give to the next watch of this key.
+    """
+
+    value: bytes | None
+    revision: int
+    index: int
--- /dev/null
+++ b/anvilthread/store/store_error.py
@@ -0,0 +1,41 @@
+"""Why a call to the store did not succeed."""
+
+from anvilthread.error import AnvilthreadError
+
+
+class StoreError(AnvilthreadError):
+    """A call to the store did not succeed."""
+
+
+class StoreConflict(StoreError):
+    """Another writer was first; the call had no effect."""
+
+    def __init__(self, *, key: str) -> None:
+        super().__init__(
+            reason=f'another writer changed {key!r} first',
+            remedy='read it again and repeat the change',
+        )
+
+
+class StoreRefused(StoreError):
+    """The store refused the call for certain; a repeat would be refused."""
+
+
+class StoreUnavailable(StoreError):
+    """The call had no effect and may succeed later."""
+
+    def __init__(self, *, reason: str) -> None:
+        super().__init__(
+            reason=f'the store is unavailable: {reason}',
+            remedy='try again later; nothing was changed',
+        )
+
+
+class StoreAnswerLost(StoreError):
+    """The write may or may not have taken effect, now or a little later."""
+
+    def __init__(self, *, reason: str) -> None:
+        super().__init__(
+            reason=f'the answer of the store was lost: {reason}',
+            remedy='read back to see whether the write took effect',
+        )
--- /dev/null
+++ b/tests/store/test_store.py
@@ -0,0 +1,188 @@
+"""What both implementations of the store promise."""
+
+from copy import copy
+
+import gevent
+import pytest
+import urllib3
+from result import Err
+
+from anvilthread.clock import ManualClock, SystemClock
+from anvilthread.store import (
+    CallKind,
+    ConsulStore,
+    Fence,
+    Store,
+    StoreAnswerLost,
+    StoreConflict,
+    StoreError,
+    StoreRefused,
+    StoreUnavailable,
+)
+from standins.store import StoreServer
+from standins.store_state import StoreFaults, StoreState
+
+_KEY = 'anvilthread/configuration'
+_TTL_MS = 10_000
+
+
+def test_only_one_of_two_writers_wins(rig: tuple[Store, StoreState]) -> None:
+    """Guards against a writer that overwrites what it has not read."""
+    store, _ = rig
+    assert store.get(_KEY).unwrap().value is None
+    assert store.put(_KEY, b'one', 0).is_ok()
+    assert isinstance(store.put(_KEY, b'two', 0).unwrap_err(), StoreConflict)
+    snapshot = store.get(_KEY).unwrap()
+    assert snapshot.value == b'one'
+    assert store.put(_KEY, b'three', snapshot.revision).is_ok()
+    assert store.get(_KEY).unwrap().value == b'three'
+
+
+@pytest.mark.parametrize(
+    ('faults', 'value', 'expected', 'kept'),
+    [
+        (StoreFaults(lost_answers=1), b'x', StoreAnswerLost, b'x'),
+        (StoreFaults(lost_requests=1), b'x', StoreAnswerLost, None),
+        (StoreFaults(), bytes(2 * 1024 * 1024), StoreRefused, None),
+    ],
+)
+def test_failed_writes_are_kept_apart(
+    rig: tuple[Store, StoreState],
+    faults: StoreFaults,
+    value: bytes,
+    expected: type[StoreError],
+    kept: bytes | None,
+) -> None:
+    """Guards against reporting a write as not done although it was."""
+    store, state = rig
+    state.faults = copy(faults)
+    outcome = store.put(_KEY, value, 0)
+    state.faults = StoreFaults()
+    assert isinstance(outcome.unwrap_err(), expected)
+    assert store.get(_KEY).unwrap().value == kept
+
+
+def test_watch_answers_on_change_and_at_limit(
+    rig: tuple[Store, StoreState],
+) -> None:
+    """Guards against a watch that polls, misses a change or never ends."""
+    store, state = rig
+    store.put(_KEY, b'one', 0)
+    first = store.get(_KEY).unwrap()
+    assert store.watch(_KEY, first.index, 50).unwrap() == first
+    task = gevent.spawn(store.watch, _KEY, first.index, 20_000)
+    gevent.sleep(0.05)
+    assert not task.ready()
+    state.swap(_KEY, b'two', first.revision)
+    assert task.get(timeout=10).unwrap().value == b'two'
+    assert state.total(CallKind.WATCH) == 2
+    assert store.counts.number(CallKind.WATCH) == 2
+
+
+def test_lapsed_lease_of_a_paused_holder(
+    rig: tuple[Store, StoreState],
+) -> None:
+    """Guards against two holders that both act, one of them late."""
+    store, state = rig
+    paused = store.acquire('lease', _TTL_MS).unwrap()
+    taken = store.acquire('lease', _TTL_MS)
+    assert isinstance(taken.unwrap_err(), StoreConflict)
+    state.destroy_session(paused.session)
+    holder = store.acquire('lease', _TTL_MS).unwrap()
+    renewed = store.renew(paused)
+    assert isinstance(renewed.unwrap_err(), StoreConflict)
+    assert holder.fencing > paused.fencing
+    fence = Fence()
+    assert fence.admits(holder.fencing)
+    assert not fence.admits(paused.fencing)
+    assert store.release(holder).is_ok()
+    assert store.acquire('lease', _TTL_MS).is_ok()
+
+
+def test_lease_lapses_with_its_time(rig: tuple[Store, StoreState]) -> None:
+    """Guards against a holder that trusts its lease after a freeze."""
+    store, _ = rig
+    start_ms = SystemClock().now_ms()
+    lease = store.acquire('lease', _TTL_MS).unwrap()
+    clock = ManualClock(start_ms=start_ms)
+    assert not lease.has_lapsed(clock)
+    clock.skip(2 * _TTL_MS)
+    assert lease.has_lapsed(clock)
+
+
+def test_outage_and_older_answers(rig: tuple[Store, StoreState]) -> None:
+    """Guards against a fault of the stand-in that has no effect."""
+    store, state = rig
+    store.put(_KEY, b'one', 0)
+    revision = store.get(_KEY).unwrap().revision
+    store.put(_KEY, b'two', revision)
+    state.faults.older_by = 1
+    assert store.get(_KEY).unwrap().value == b'one'
+    state.faults.outage = True
+    assert isinstance(store.get(_KEY).unwrap_err(), StoreUnavailable)
+    assert store.put(_KEY, b'three', revision).is_err()
+    assert store.watch(_KEY, 1, 100).is_err()
+
+
+def test_rates_are_enforced(server: StoreServer, consul: ConsulStore) -> None:
+    """Guards against a stand-in that allows more than the platform."""
+    server.state.calls.clear()
+    outcomes = [consul.get(_KEY) for _ in range(10)]
+    assert all(outcome.is_ok() for outcome in outcomes)
+    server.state.admit = lambda kind: False  # type: ignore[method-assign]
+    refused = consul.put(_KEY, b'x', 0)
+    assert isinstance(refused.unwrap_err(), StoreUnavailable)
+
+
+def test_slow_calls_stall_nothing_else(
+    server: StoreServer, consul: ConsulStore
+) -> None:
+    """Guards against a client that blocks the thread of all tasks."""
+    server.state.faults.delay_ms = 300
+    call = gevent.spawn(consul.get, _KEY)
+    steps = 0
+    while not call.ready():
+        gevent.sleep(0.01)
+        steps += 1
+    assert call.value.is_ok()
+    assert steps > 5
+
+
+@pytest.mark.parametrize('method', ['get', 'put', 'watch'])
+def test_unreachable_store(method: str) -> None:
+    """Guards against an error that claims more than is known."""
+    store = ConsulStore(url='http://127.0.0.1:1', clock=SystemClock())
+    arguments = {'get': (), 'put': (b'x', 0), 'watch': (1, 10)}[method]
+    outcome = getattr(store, method)(_KEY, *arguments)
+    assert isinstance(outcome, Err)
+    assert isinstance(outcome.err_value, StoreUnavailable)
+
+
+@pytest.mark.parametrize(
+    'body', [b'', b'[]', b'{}', b'[{"ModifyIndex": "x"}]', b'\xff', b'null']
+)
+def test_malformed_answers_are_errors(
+    body: bytes,
+    server: StoreServer,
+    consul: ConsulStore,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a crash on an answer of another program."""
+    monkeypatch.setattr('standins.store._entry', lambda key, stored: body)
+    server.state.restore(_KEY, b'x')
+    assert isinstance(consul.get(_KEY).unwrap_err(), StoreUnavailable)
+    monkeypatch.setattr(server.state, 'swap', lambda *rest: body.hex())
+    outcome = consul.put(_KEY, b'x', 0)
+    assert isinstance(outcome.unwrap_err(), StoreAnswerLost)
+
+
+def test_faults_are_switched_by_url(
+    server: StoreServer, consul: ConsulStore
+) -> None:
+    """Guards against a demo whose faults never reach the store."""
+    control = f'{server.url}/control/faults'
+    task = gevent.get_hub().threadpool.spawn(
+        urllib3.request, 'PUT', control, json={'outage': True}
+    )
+    assert task.get(timeout=10).status == 200
+    assert isinstance(consul.get(_KEY).unwrap_err(), StoreUnavailable)
