--- /dev/null
+++ b/anvilthread/outcomes/body.py
@@ -0,0 +1,24 @@
+"""The body of a request."""
+
+from typing import Protocol
+
+
+class Body(Protocol):
+    """A request body that is read in chunks."""
+
+    @property
+    def length(self) -> int | None:
+        """Length in bytes, or None when it is not known in advance."""
+
+    def read(self, limit: int) -> bytes:
+        """Blocks for the next bytes.
+
+        Args:
+            limit: Most bytes to return.
+
+        Returns:
+            The next bytes; empty at the end of the body.
+        """
+
+    def rewind(self) -> bool:
+        """Starts again from the first byte; returns whether it can."""
--- /dev/null
+++ b/anvilthread/outcomes/runner.py
@@ -0,0 +1,23 @@
+"""The interface of everything that can run a request."""
+
+from typing import Protocol
+
+from anvilthread.outcomes.outcome import Outcome
+from anvilthread.outcomes.request import Request
+from anvilthread.outcomes.single_answer import SingleAnswer
+
+
+class Runner(Protocol):
+    """Runs a request at most once and says what happened."""
+
+    def run(self, request: Request, answer: SingleAnswer) -> Outcome:
+        """Passes the answer on as it arrives.
+
+        Args:
+            request: What to run.
+            answer: Receiver of head, chunks and end. The runner never calls
+                ``fail`` on it; the caller reports the returned outcome.
+
+        Returns:
+            *Answered* only if the end of the answer has been passed on.
+        """
