Add admission to a target's slots and the HTTP/1.1 edge

Admission grants slots in order of deadlines, sheds requests that would miss theirs, and offers what waits to other agents at the same time as it waits for a local slot. The edge sends each request once; a request that must not run twice gets a fresh connection, because a stale idle connection leaves it open whether the target read the request. A cancelled request keeps its slot until the target closes its side.

--- /dev/null
+++ b/anvilthread/admission/admission.py
@@ -0,0 +1,148 @@
+"""Admission of requests to the slots of one target."""
+
+import gevent
+from gevent.event import Event
+from result import Err, Ok, Result
+
+from anvilthread.admission import refusals
+from anvilthread.admission.limits import Limits
+from anvilthread.admission.load import Load
+from anvilthread.admission.scheduler import Scheduler
+from anvilthread.admission.slot_pool import SlotPool
+from anvilthread.admission.target_state import TargetState
+from anvilthread.admission.wait_estimator import WaitEstimator
+from anvilthread.admission.waiter import Waiter
+from anvilthread.clock import Clock
+from anvilthread.outcomes import Outcome
+
+
+class Admission:
+    """Grants the slots of one target in order of deadlines.
+
+    Args:
+        clock: Clock of the deadlines.
+        limits: Limits of the target.
+    """
+
+    def __init__(self, *, clock: Clock, limits: Limits) -> None:
+        self._clock = clock
+        self._limits = limits
+        self._state = TargetState()
+        self._scheduler = Scheduler(
+            clock=clock, limits=limits, state=self._state
+        )
+        # Streams do not wait, so a free stream wakes nobody.
+        self._streams = SlotPool(slots=limits.streams)
+        self._stopped = Event()
+
+    @property
+    def limits(self) -> Limits:
+        """Limits of the target."""
+        return self._limits
+
+    @property
+    def draining(self) -> bool:
+        """Whether no new request starts on the target."""
+        return self._state.draining
+
+    @property
+    def stopped(self) -> Event:
+        """Set when a stop interrupts what still runs."""
+        return self._stopped
+
+    @property
+    def estimator(self) -> WaitEstimator:
+        """Run times and rate of starts."""
+        return self._scheduler.estimator
+
+    @property
+    def load(self) -> Load:
+        """Load figures of this moment."""
+        pool = self._scheduler.pool
+        return Load(
+            busy=pool.busy,
+            waiting=self._scheduler.waiting,
+            slots=pool.slots,
+            streams=self._streams.busy,
+        )
+
+    def enter(
+        self, *, deadline_ms: int, stream: bool, own: bool, wake: Event
+    ) -> Result[Waiter, Outcome]:
+        """Asks for a slot, without blocking.
+
+        Args:
+            deadline_ms: Monotonic time after which a slot is of no use.
+            stream: Whether the request is a stream.
+            own: Whether a client of this agent asks.
+            wake: Set when the waiter has got a slot or has been refused.
+
+        Returns:
+            A waiter, which has a slot already if one is free, or a refusal.
+        """
+        refusal = self._refusal(deadline_ms)
+        if refusal is not None:
+            return Err(refusal)
+        waiter = Waiter(deadline_ms=deadline_ms, own=own, wake=wake)
+        if stream and not self._limits.streams_take_slots:
+            return self._enter_stream(waiter)
+        return self._scheduler.enter(waiter)
+
+    def leave(self, waiter: Waiter) -> None:
+        """Gives up a waiter and the slot that it may have got."""
+        self._scheduler.leave(waiter)
+
+    def pause(self) -> None:
+        """Grants no slot for a while, after the target refused connections.
+
+        Afterwards one request at a time runs until one has been answered.
+        """
+        pause_ms = self._limits.pause_ms
+        self._state.pause(self._clock.now_ms() + pause_ms)
+        self._scheduler.refuse(
+            lambda waiter: not waiter.own, refusals.target_unavailable()
+        )
+        gevent.spawn(self._scheduler.grant_after, pause_ms)
+
+    def confirm(self) -> None:
+        """Notes that the target has answered a request."""
+        if not self._state.proven:
+            self._state.confirm()
+            self._scheduler.grant()
+
+    def drain(self) -> None:
+        """Starts nothing more on the target; what runs continues."""
+        self._state.drain()
+        self._scheduler.refuse(lambda _: True, refusals.draining())
+
+    def stop(self) -> int:
+        """Drains, waits for what runs and interrupts the rest.
+
+        Returns:
+            Number of requests and streams that were interrupted.
+        """
+        self.drain()
+        end_ms = self._clock.now_ms() + self._limits.stop_ms
+        for pool in (self._scheduler.pool, self._streams):
+            left_ms = max(end_ms - self._clock.now_ms(), 0)
+            self._clock.wait(pool.idle, left_ms)
+        interrupted = self._scheduler.pool.busy + self._streams.busy
+        self._stopped.set()
+        return interrupted
+
+    def _refusal(self, deadline_ms: int) -> Outcome | None:
+        now_ms = self._clock.now_ms()
+        if deadline_ms <= now_ms:
+            return refusals.deadline_passed()
+        if self._state.draining:
+            return refusals.draining()
+        if self._state.paused(now_ms):
+            return refusals.target_unavailable()
+        return None
+
+    def _enter_stream(self, waiter: Waiter) -> Result[Waiter, Outcome]:
+        slot = self._streams.take()
+        if slot is None:
+            return Err(refusals.too_many_streams(self._limits.streams))
+        waiter.grant(slot)
+        return Ok(waiter)
--- /dev/null
+++ b/anvilthread/admission/dispatcher.py
@@ -0,0 +1,105 @@
+"""Where a request runs, and whether it runs again."""
+
+from result import Err, Ok, Result
+
+from anvilthread.admission import refusals
+from anvilthread.admission.admission import Admission
+from anvilthread.admission.attempts import Attempts
+from anvilthread.admission.edge import Edge
+from anvilthread.admission.local_place import LocalPlace
+from anvilthread.admission.no_offers import NoOffers
+from anvilthread.admission.offers import OfferSource, Place
+from anvilthread.admission.retry_budget import RetryBudget
+from anvilthread.admission.search import Search
+from anvilthread.admission.slot import Slot
+from anvilthread.clock import Clock
+from anvilthread.outcomes import Outcome, Request, SingleAnswer
+
+
+class Dispatcher:
+    """Runs requests here or at another agent, within limits and budget.
+
+    Args:
+        clock: Clock of the deadlines.
+        admission: The local slots.
+        edge: The local target.
+        source: Other agents; none by default.
+    """
+
+    __slots__ = ('_admission', '_budget', '_clock', '_edge', '_source')
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        admission: Admission,
+        edge: Edge,
+        source: OfferSource | None = None,
+    ) -> None:
+        self._clock = clock
+        self._admission = admission
+        self._edge = edge
+        self._source = source or NoOffers()
+        self._budget = RetryBudget(ratio=admission.limits.retry_ratio)
+
+    @property
+    def budget(self) -> RetryBudget:
+        """The budget of retries."""
+        return self._budget
+
+    def run(self, request: Request, answer: SingleAnswer) -> Outcome:
+        """Runs a request, more than once only if that is allowed."""
+        self._budget.record()
+        attempts = Attempts()
+        while True:
+            found = self._find(request, attempts)
+            if isinstance(found, Err):
+                return attempts.conclude(found.err_value)
+            place = found.ok_value
+            outcome = place.run(request, answer)
+            attempts.note(place, outcome)
+            if answer.started or not attempts.retriable(outcome, request):
+                return attempts.conclude(outcome)
+            if not self._may_repeat(attempts):
+                return attempts.conclude(outcome)
+
+    def run_reserved(
+        self, request: Request, answer: SingleAnswer, slot: Slot
+    ) -> Outcome:
+        """Runs a request of another agent in the slot reserved for it.
+
+        It is not retried here: its own agent decides that.
+        """
+        return self._local(slot).run(request, answer)
+
+    def _find(
+        self, request: Request, attempts: Attempts
+    ) -> Result[Place, Outcome]:
+        if request.cancelled.is_set():
+            return Err(refusals.cancelled())
+        search = Search(
+            clock=self._clock,
+            admission=self._admission,
+            source=self._source,
+            request=request,
+            attempts=attempts,
+        )
+        found = search.find()
+        if isinstance(found, Err):
+            return found
+        self._admission.estimator.started()
+        place = found.ok_value
+        return Ok(self._local(place) if isinstance(place, Slot) else place)
+
+    def _local(self, slot: Slot) -> LocalPlace:
+        return LocalPlace(
+            clock=self._clock,
+            admission=self._admission,
+            edge=self._edge,
+            slot=slot,
+        )
+
+    def _may_repeat(self, attempts: Attempts) -> bool:
+        if attempts.count >= self._admission.limits.attempts:
+            return False
+        return self._budget.take()
--- /dev/null
+++ b/anvilthread/admission/local_place.py
@@ -0,0 +1,83 @@
+"""A slot on this agent's target."""
+
+from typing import ClassVar
+
+import msgspec
+from gevent.event import Event
+
+from anvilthread.address import Address
+from anvilthread.admission import refusals
+from anvilthread.admission.admission import Admission
+from anvilthread.admission.edge import Edge
+from anvilthread.admission.slot import Slot
+from anvilthread.clock import Clock
+from anvilthread.outcomes import (
+    Outcome,
+    OutcomeKind,
+    Reason,
+    Request,
+    SingleAnswer,
+)
+from anvilthread.outcomes.event_link import EventLink
+
+
+class LocalPlace:
+    """Runs one request on this agent's target.
+
+    Args:
+        clock: Clock of the deadlines.
+        admission: Owner of the slot.
+        edge: The target.
+        slot: A granted slot.
+    """
+
+    __slots__ = ('_admission', '_clock', '_edge', '_slot')
+
+    _agent: ClassVar[Address | None] = None
+
+    def __init__(
+        self, *, clock: Clock, admission: Admission, edge: Edge, slot: Slot
+    ) -> None:
+        self._clock = clock
+        self._admission = admission
+        self._edge = edge
+        self._slot = slot
+
+    @property
+    def agent(self) -> Address | None:
+        """This agent."""
+        return self._agent
+
+    def give_up(self) -> None:
+        """Frees the slot."""
+        self._slot.release()
+
+    def run(self, request: Request, answer: SingleAnswer) -> Outcome:
+        """Runs the request unless it expired while the process was frozen."""
+        if request.deadline_ms <= self._clock.now_ms():
+            self._slot.release()
+            return refusals.deadline_passed()
+        interrupted = Event()
+        sources = (request.cancelled, self._admission.stopped)
+        bounded = msgspec.structs.replace(request, cancelled=interrupted)
+        with EventLink(sources=sources, target=interrupted):
+            outcome = self._edge.run(bounded, answer, self._slot)
+        self._note(outcome)
+        return self._explained(outcome, request)
+
+    def _note(self, outcome: Outcome) -> None:
+        if outcome.reason is Reason.TARGET_UNAVAILABLE:
+            self._admission.pause()
+        if outcome.kind is OutcomeKind.ANSWERED:
+            self._admission.confirm()
+
+    def _explained(self, outcome: Outcome, request: Request) -> Outcome:
+        if outcome.reason is not Reason.CANCELLED:
+            return outcome
+        if request.cancelled.is_set():
+            return outcome
+        return msgspec.structs.replace(
+            outcome,
+            reason=Reason.STOPPED,
+            detail='the agent stopped before the request had ended',
+        )
--- /dev/null
+++ b/anvilthread/admission/slot.py
@@ -0,0 +1,28 @@
+"""The right to run one request on the target."""
+
+from collections.abc import Callable
+
+
+class Slot:
+    """A slot in use; released exactly once.
+
+    Args:
+        on_release: Called by the first release.
+    """
+
+    __slots__ = ('_on_release',)
+
+    def __init__(self, *, on_release: Callable[[], None]) -> None:
+        self._on_release: Callable[[], None] | None = on_release
+
+    @property
+    def held(self) -> bool:
+        """Whether the slot has not been released."""
+        return self._on_release is not None
+
+    def release(self) -> None:
+        """Frees the slot; later calls have no effect."""
+        on_release = self._on_release
+        self._on_release = None
+        if on_release is not None:
+            on_release()
--- /dev/null
+++ b/anvilthread/admission/target_state.py
@@ -0,0 +1,46 @@
+"""Whether a target may get new requests."""
+
+
+class TargetState:
+    """What is known about one target's readiness."""
+
+    __slots__ = ('_draining', '_paused_until_ms', '_proven')
+
+    def __init__(self) -> None:
+        self._draining = False
+        self._paused_until_ms: int | None = None
+        self._proven = True
+
+    @property
+    def draining(self) -> bool:
+        """Whether the target is leaving."""
+        return self._draining
+
+    @property
+    def proven(self) -> bool:
+        """Whether the target has answered since it last refused."""
+        return self._proven
+
+    def paused(self, now_ms: int) -> bool:
+        """Whether the target has refused connections a short time ago."""
+        return (
+            self._paused_until_ms is not None and now_ms < self._paused_until_ms
+        )
+
+    def closed(self, now_ms: int) -> bool:
+        """Whether nothing new may start."""
+        return self._draining or self.paused(now_ms)
+
+    def drain(self) -> None:
+        """Notes that the target is leaving."""
+        self._draining = True
+
+    def pause(self, until_ms: int) -> None:
+        """Notes that the target has refused a connection."""
+        self._paused_until_ms = until_ms
+        self._proven = False
+
+    def confirm(self) -> None:
+        """Notes that the target has answered."""
+        self._paused_until_ms = None
+        self._proven = True
--- a/anvilthread/outcomes/body.py
+++ b/anvilthread/outcomes/body.py
@@ -18,6 +18,9 @@
 
         Returns:
             The next bytes; empty at the end of the body.
+
+        Raises:
+            ClientGoneError: If the rest of the body will not arrive.
         """
 
     def rewind(self) -> bool:
--- a/anvilthread/outcomes/request_handler.py
+++ b/anvilthread/outcomes/request_handler.py
@@ -63,13 +63,17 @@
         return outcome
 
     def _run(self, request: Request, answer: SingleAnswer) -> Outcome:
-        if not request.stream:
+        if request.stream:
+            return self._runner.run(request, answer)
+        try:
             content = self._read(request.body)
-            if content is None:
-                return _too_large(self._max_body_bytes)
-            body = BytesBody(content=content)
-            request = msgspec.structs.replace(request, body=body)
-        return self._runner.run(request, answer)
+        except ClientGoneError:
+            return _client_gone()
+        if content is None:
+            return _too_large(self._max_body_bytes)
+        body = BytesBody(content=content)
+        whole = msgspec.structs.replace(request, body=body)
+        return self._runner.run(whole, answer)
 
     def _read(self, body: Body) -> bytes | None:
         if (body.length or 0) > self._max_body_bytes:
@@ -125,6 +129,12 @@
     )
 
 
+def _client_gone() -> Outcome:
+    return Outcome.not_run(
+        Reason.CANCELLED, 'the client left before its request was complete'
+    )
+
+
 def _internal_fault() -> Outcome:
     return Outcome.unknown(
         Reason.ANSWER_LOST, 'the agent failed while it handled the request'
--- /dev/null
+++ b/anvilthread/target/exchange.py
@@ -0,0 +1,214 @@
+"""One request and its answer on one connection to the target."""
+
+from collections.abc import Iterator
+from enum import Enum, auto
+from http.client import HTTPException
+from typing import Final, Protocol
+
+from urllib3 import BaseHTTPResponse
+from urllib3.exceptions import HTTPError
+
+from anvilthread.outcomes import (
+    ClientGoneError,
+    Outcome,
+    Reason,
+    Request,
+    SingleAnswer,
+)
+from anvilthread.target.connection_pool import ConnectionPool
+from anvilthread.target.forwarded_headers import (
+    request_headers,
+    response_headers,
+)
+from anvilthread.target.gevent_connection import GeventConnection
+
+#: Header of a 503 by which a target states that it has not started.
+NOT_STARTED_HEADER: Final = 'anvilthread-not-started'
+
+#: Most bytes of a body that one exchange holds in memory.
+READ_BYTES: Final = 65_536
+
+_SERVICE_UNAVAILABLE: Final = 503
+_MS_PER_SECOND: Final = 1000
+
+
+class Stage(Enum):
+    """How far an exchange has come."""
+
+    NOT_SENT = auto()
+    SENT = auto()
+    BEGUN = auto()
+    ENDED = auto()
+
+
+class Connected(Protocol):
+    """The part of a socket that ends an exchange."""
+
+    def shutdown(self, how: int) -> None:
+        """Closes one or both directions."""
+
+    def recv(self, size: int) -> bytes:
+        """Blocks for data; empty when the target has closed."""
+
+    def close(self) -> None:
+        """Releases the descriptor."""
+
+
+class Exchange:
+    """Sends one request once and passes its answer on.
+
+    Args:
+        connections: Connections to the target.
+        request: What to send.
+        answer: Receiver of the answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        connections: ConnectionPool,
+        request: Request,
+        answer: SingleAnswer,
+    ) -> None:
+        self._connections = connections
+        self._request = request
+        self._answer = answer
+        self._stage = Stage.NOT_SENT
+        self._socket: Connected | None = None
+
+    @property
+    def stage(self) -> Stage:
+        """How far the exchange has come."""
+        return self._stage
+
+    @property
+    def socket(self) -> Connected | None:
+        """A second descriptor of the connection, once it is open.
+
+        It stays valid when the HTTP library closes its own descriptor.
+        """
+        return self._socket
+
+    def run(self, left_ms: int) -> Outcome:
+        """Performs the exchange; runs in a task of its own.
+
+        Args:
+            left_ms: Remaining time to the deadline.
+
+        Returns:
+            What is certain about the execution.
+        """
+        try:
+            connection = self._connect()
+        except OSError as error:
+            return _unavailable(error)
+        # From here on, any part of the request may have reached the target.
+        self._stage = Stage.SENT
+        try:
+            return self._exchange(connection, left_ms)
+        except (HTTPError, HTTPException, OSError) as error:
+            return _lost(error)
+        except ClientGoneError:
+            return client_gone()
+
+    def _connect(self) -> GeventConnection:
+        # The target may close an idle connection at any moment, and then it
+        # is not certain whether a request on it was read.
+        connection = None
+        if self._request.idempotent:
+            connection = self._connections.reused()
+        if connection is None:
+            connection = self._connections.fresh()
+            connection.connect()
+        self._socket = connection.sock.dup()
+        return connection
+
+    def _exchange(self, connection: GeventConnection, left_ms: int) -> Outcome:
+        connection.request(
+            self._request.method,
+            self._request.path,
+            body=self._body(),
+            headers=request_headers(self._request, left_ms),
+            preload_content=False,
+            decode_content=False,
+        )
+        response = connection.getresponse()
+        if _refused(response):
+            response.drain_conn()
+            self._stage = Stage.ENDED
+            connection.close()
+            return _not_started(response)
+        self._pass_on(response)
+        self._connections.put(connection)
+        return Outcome.answered()
+
+    def _body(self) -> Iterator[bytes] | None:
+        if self._request.body.length == 0:
+            return None
+        return iter(lambda: self._request.body.read(READ_BYTES), b'')
+
+    def _pass_on(self, response: BaseHTTPResponse) -> None:
+        self._stage = Stage.BEGUN
+        headers = response_headers(response.headers)
+        self._answer.head(response.status, headers)
+        for part in _parts(response):
+            self._answer.chunk(part)
+        if not _delimited(response):
+            raise HTTPException('the answer has neither length nor chunks')
+        self._stage = Stage.ENDED
+        self._answer.end()
+
+
+def client_gone() -> Outcome:
+    """The client left while the request ran."""
+    return Outcome.unknown(
+        Reason.CANCELLED, 'the client cancelled the request while it ran'
+    )
+
+
+def _parts(response: BaseHTTPResponse) -> Iterator[bytes]:
+    if getattr(response, 'chunked', False):
+        yield from response.stream(READ_BYTES, decode_content=False)
+        return
+    part = response.read1(READ_BYTES, decode_content=False)
+    while part:
+        yield part
+        part = response.read1(READ_BYTES, decode_content=False)
+
+
+def _delimited(response: BaseHTTPResponse) -> bool:
+    # A body that ends with the connection looks the same when it is cut.
+    chunked = getattr(response, 'chunked', False)
+    return chunked or getattr(response, 'length_remaining', None) == 0
+
+
+def _refused(response: BaseHTTPResponse) -> bool:
+    if response.status != _SERVICE_UNAVAILABLE:
+        return False
+    return response.headers.get(NOT_STARTED_HEADER) == '1'
+
+
+def _not_started(response: BaseHTTPResponse) -> Outcome:
+    seconds = response.headers.get('retry-after', '1')
+    known = seconds.isascii() and seconds.isdecimal()
+    return Outcome.not_run(
+        Reason.TARGET_REFUSED,
+        'the target has refused the request before it started',
+        int(seconds) * _MS_PER_SECOND if known else _MS_PER_SECOND,
+    )
+
+
+def _unavailable(error: OSError) -> Outcome:
+    return Outcome.not_run(
+        Reason.TARGET_UNAVAILABLE,
+        f'the target does not take connections ({error.strerror or error})',
+        _MS_PER_SECOND,
+    )
+
+
+def _lost(error: Exception) -> Outcome:
+    return Outcome.unknown(
+        Reason.ANSWER_LOST,
+        'the connection to the target broke after the request was sent '
+        f'({type(error).__name__})',
+    )
