Add execution keys and handover between agents

An agent that has no free slot offers a waiting request to the least busy agents; the first to hold a free slot for it gets it.

--- /dev/null
+++ b/anvilthread/outcomes/handover/handover_client.py
@@ -0,0 +1,134 @@
+"""Requests that this agent hands over to others."""
+
+from collections.abc import Collection
+from random import Random
+
+from gevent.event import Event
+
+from anvilthread.address import Address
+from anvilthread.clock import Clock
+from anvilthread.outcomes import key_refusals
+from anvilthread.outcomes.agent_identity import AgentIdentity
+from anvilthread.outcomes.handover.channel import Channel, ChannelLostError
+from anvilthread.outcomes.handover.handover_settings import HandoverSettings
+from anvilthread.outcomes.handover.messages import Offer, Refused, Reserved
+from anvilthread.outcomes.handover.node import Node
+from anvilthread.outcomes.handover.open_offers import OpenOffer, OpenOffers
+from anvilthread.outcomes.handover.peer_place import PeerPlace
+from anvilthread.outcomes.handover.peers import Peers
+from anvilthread.outcomes.outcome import Outcome
+from anvilthread.outcomes.reason import Reason
+from anvilthread.outcomes.request import Request
+from anvilthread.outcomes.single_answer import SingleAnswer
+
+
+class HandoverClient:
+    """Offers requests to the least busy agents of their service.
+
+    Args:
+        clock: Clock of the deadlines.
+        random: Breaks ties, so that agents do not all choose the same peer.
+        node: Exchange with other agents.
+        peers: The other agents.
+        settings: Limits.
+    """
+
+    __slots__ = ('_clock', '_node', '_peers', '_random', '_settings')
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        random: Random,
+        node: Node,
+        peers: Peers,
+        settings: HandoverSettings,
+    ) -> None:
+        self._clock = clock
+        self._random = random
+        self._node = node
+        self._peers = peers
+        self._settings = settings
+
+    def offer(
+        self, request: Request, excluded: Collection[Address], wake: Event
+    ) -> OpenOffers:
+        """Offers a request, without blocking.
+
+        Args:
+            request: The request; its body is not sent before it runs.
+            excluded: Agents that must not get it again.
+            wake: Set whenever an agent has reserved or refused.
+
+        Returns:
+            The open offers.
+        """
+        left_ms = request.deadline_ms - self._clock.now_ms()
+        offers = [
+            OpenOffer(agent=agent, channel=self._node.connect(agent), wake=wake)
+            for agent in self._choose(request.service, excluded)
+        ]
+        return OpenOffers(
+            offers=offers,
+            message=Offer(left_ms, request.stream),
+            place=self._place,
+        )
+
+    def forward(
+        self, owner: AgentIdentity, request: Request, answer: SingleAnswer
+    ) -> Outcome:
+        """Lets the owner of an execution key decide."""
+        channel = self._node.connect(owner.address)
+        try:
+            outcome = self._ask(channel, owner, request, answer)
+        except ChannelLostError:
+            return key_refusals.owner_unreachable()
+        finally:
+            channel.cancel()
+        if outcome.reason is Reason.PEER_UNREACHABLE:
+            # This attempt may not have run, but an earlier one may have.
+            return key_refusals.owner_unreachable()
+        return outcome
+
+    def _ask(
+        self,
+        channel: Channel,
+        owner: AgentIdentity,
+        request: Request,
+        answer: SingleAnswer,
+    ) -> Outcome:
+        left_ms = request.deadline_ms - self._clock.now_ms()
+        channel.put(Offer(left_ms, request.stream, owner.incarnation))
+        message = channel.get(left_ms, request.cancelled)
+        if isinstance(message, Refused):
+            return message.outcome
+        if not isinstance(message, Reserved):
+            return key_refusals.owner_unreachable()
+        place = PeerPlace(
+            clock=self._clock,
+            agent=owner.address,
+            channel=channel,
+            chunk_bytes=self._settings.chunk_bytes,
+        )
+        return place.run_late(request, answer)
+
+    def _choose(
+        self, service: int, excluded: Collection[Address]
+    ) -> list[Address]:
+        candidates = [
+            peer
+            for peer in self._peers.list_peers(service)
+            if peer.identity.address not in excluded
+        ]
+        self._random.shuffle(candidates)
+        candidates.sort(key=lambda peer: peer.utilisation)
+        chosen = candidates[: self._settings.fanout]
+        return [peer.identity.address for peer in chosen]
+
+    def _place(self, offer: OpenOffer) -> PeerPlace:
+        return PeerPlace(
+            clock=self._clock,
+            agent=offer.agent,
+            channel=offer.channel,
+            chunk_bytes=self._settings.chunk_bytes,
+        )
--- /dev/null
+++ b/anvilthread/outcomes/handover/handover_server.py
@@ -0,0 +1,185 @@
+"""Requests that other agents hand over to this one."""
+
+import msgspec
+from gevent.event import Event
+from result import Err, Ok, Result
+
+from anvilthread.admission import Admission, Dispatcher, Slot, refusals
+from anvilthread.clock import Clock
+from anvilthread.outcomes import key_refusals
+from anvilthread.outcomes.agent_identity import AgentIdentity
+from anvilthread.outcomes.bytes_body import BytesBody
+from anvilthread.outcomes.event_link import EventLink
+from anvilthread.outcomes.handover.channel import Channel, ChannelLostError
+from anvilthread.outcomes.handover.channel_body import ChannelBody
+from anvilthread.outcomes.handover.channel_responder import ChannelResponder
+from anvilthread.outcomes.handover.handover_settings import HandoverSettings
+from anvilthread.outcomes.handover.messages import (
+    Failed,
+    Offer,
+    Refused,
+    Reserved,
+    Run,
+)
+from anvilthread.outcomes.outcome import Outcome
+from anvilthread.outcomes.outcome_kind import OutcomeKind
+from anvilthread.outcomes.reason import Reason
+from anvilthread.outcomes.request import Request
+from anvilthread.outcomes.responder import ClientGoneError
+from anvilthread.outcomes.runner import Runner
+from anvilthread.outcomes.single_answer import SingleAnswer
+
+
+class HandoverServer:
+    """Reserves places for other agents and runs requests in them.
+
+    Args:
+        clock: Clock of deadlines and reservations.
+        identity: This agent.
+        settings: Limits.
+        admission: The local slots.
+        dispatcher: Runs requests in reserved slots.
+        owner: Decides about requests with execution keys of this agent.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        identity: AgentIdentity,
+        settings: HandoverSettings,
+        admission: Admission,
+        dispatcher: Dispatcher,
+        owner: Runner,
+    ) -> None:
+        self._clock = clock
+        self._identity = identity
+        self._settings = settings
+        self._admission = admission
+        self._dispatcher = dispatcher
+        self._owner = owner
+
+    def serve(self, channel: Channel, offer: Offer) -> None:
+        """Handles one offer from its arrival to the end of the run."""
+        deadline_ms = self._clock.now_ms() + offer.left_ms
+        try:
+            self._serve(channel, offer, deadline_ms)
+        except (ChannelLostError, ClientGoneError):
+            # The offering agent has reported the outcome itself.
+            channel.close()
+        except BaseException:
+            channel.close()
+            raise
+        channel.close()
+
+    def _serve(self, channel: Channel, offer: Offer, deadline_ms: int) -> None:
+        found = self._reserve(channel, offer, deadline_ms)
+        if isinstance(found, Err):
+            channel.put(Refused(found.err_value))
+            return
+        slot = found.ok_value
+        try:
+            run = self._await_run(channel)
+        except BaseException:
+            slot.release()
+            raise
+        if run is None:
+            slot.release()
+            channel.put(Failed(_expired(offer)))
+            return
+        request = self._request(channel, run, deadline_ms)
+        answer = SingleAnswer(
+            responder=ChannelResponder(
+                channel=channel, chunk_bytes=self._settings.chunk_bytes
+            )
+        )
+        outcome = self._run(offer, request, answer, slot)
+        if outcome.kind is not OutcomeKind.ANSWERED:
+            answer.fail(outcome)
+
+    def _reserve(
+        self, channel: Channel, offer: Offer, deadline_ms: int
+    ) -> Result[Slot, Outcome]:
+        if offer.owner is not None:
+            return self._reserve_decision(offer.owner)
+        wake = Event()
+        entered = self._admission.enter(
+            deadline_ms=deadline_ms, stream=offer.stream, own=False, wake=wake
+        )
+        if isinstance(entered, Err):
+            return entered
+        waiter = entered.ok_value
+        with EventLink(sources=[channel.cancelled], target=wake):
+            self._clock.wait(wake, offer.left_ms)
+        if channel.cancelled.is_set():
+            self._admission.leave(waiter)
+            raise ChannelLostError
+        if waiter.slot is None:
+            self._admission.leave(waiter)
+            return Err(waiter.refusal or refusals.deadline_passed())
+        return Ok(waiter.slot)
+
+    def _reserve_decision(self, incarnation: int) -> Result[Slot, Outcome]:
+        if incarnation != self._identity.incarnation:
+            return Err(key_refusals.owner_gone())
+        # Only the run itself takes a slot, here or at another agent.
+        return Ok(Slot(on_release=_nothing))
+
+    def _await_run(self, channel: Channel) -> Run | None:
+        channel.put(Reserved())
+        message = channel.get(self._settings.reservation_ms)
+        return message if isinstance(message, Run) else None
+
+    def _request(self, channel: Channel, run: Run, deadline_ms: int) -> Request:
+        left_ms = self._clock.now_ms() + run.left_ms
+        return Request(
+            method=run.method,
+            path=run.path,
+            headers=run.headers,
+            body=ChannelBody(channel=channel, length=run.body_length),
+            service=run.service,
+            deadline_ms=min(deadline_ms, left_ms),
+            cancelled=channel.cancelled,
+            idempotent=run.idempotent,
+            stream=run.stream,
+            execution_key=run.execution_key,
+        )
+
+    def _run(
+        self, offer: Offer, request: Request, answer: SingleAnswer, slot: Slot
+    ) -> Outcome:
+        try:
+            whole = self._with_body(request)
+        except BaseException:
+            slot.release()
+            raise
+        if offer.owner is not None:
+            return self._owner.run(whole, answer)
+        return self._dispatcher.run_reserved(whole, answer, slot)
+
+    def _with_body(self, request: Request) -> Request:
+        if request.stream and request.execution_key is None:
+            return request
+        # Nothing runs before the whole body is here, so that a body that
+        # stays away leaves no doubt.
+        parts = bytearray()
+        while part := request.body.read(self._settings.chunk_bytes):
+            parts.extend(part)
+            if len(parts) > self._settings.body_bytes:
+                raise ChannelLostError
+        body = BytesBody(content=bytes(parts))
+        return msgspec.structs.replace(request, body=body)
+
+
+def _nothing() -> None:
+    """A decision holds no slot."""
+
+
+def _expired(offer: Offer) -> Outcome:
+    if offer.owner is not None:
+        # An earlier request with the same key may have run.
+        return key_refusals.owner_unreachable()
+    return Outcome.not_run(
+        Reason.RESERVATION_EXPIRED,
+        'the place at the other agent expired before the request arrived',
+    )
--- /dev/null
+++ b/anvilthread/outcomes/handover/handover_settings.py
@@ -0,0 +1,21 @@
+"""Limits of handovers between agents."""
+
+import msgspec
+
+
+class HandoverSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Settings of the handover of one agent.
+
+    Args:
+        fanout: Most agents that one request is offered to at a time.
+        reservation_ms: Time for which a place is held for a run.
+        channels: Most handovers from other agents at a time.
+        chunk_bytes: Longest part of a body in one message.
+        body_bytes: Longest body of a request that is no stream.
+    """
+
+    fanout: int = 3
+    reservation_ms: int = 500
+    channels: int = 4096
+    chunk_bytes: int = 32_768
+    body_bytes: int = 1 << 20
--- a/anvilthread/outcomes/request_handler.py
+++ b/anvilthread/outcomes/request_handler.py
@@ -63,7 +63,8 @@
         return outcome
 
     def _run(self, request: Request, answer: SingleAnswer) -> Outcome:
-        if request.stream:
+        # The digest of a request with a key needs the whole body.
+        if request.stream and request.execution_key is None:
             return self._runner.run(request, answer)
         try:
             content = self._read(request.body)
