--- a/anvilthread/outcomes/execution_record.py
+++ b/anvilthread/outcomes/execution_record.py
@@ -7,7 +7,7 @@
 from anvilthread.outcomes.kept_answer import KeptAnswer
 from anvilthread.outcomes.outcome import Outcome
 
-#: Memory of a record without its answer, as measured with tracemalloc.
+#: Memory allowed for a record without its answer.
 RECORD_BYTES: Final = 1024
 
 
--- /dev/null
+++ b/benchmarks/admission.py
@@ -0,0 +1,294 @@
+"""Waits, balance and goodput of admission, in virtual time.
+
+Every figure compares two runs over the same arrivals and run times.
+"""
+
+import heapq
+from collections.abc import Sequence
+from random import Random
+from statistics import fmean, quantiles
+from typing import Final
+
+import gevent
+import msgspec
+from gevent.event import Event
+
+from anvilthread.admission import Limits
+from anvilthread.outcomes import BytesBody, OutcomeKind, Request
+from anvilthread.outcomes.handover import HandoverSettings
+from standins.collected_answer import CollectedAnswer
+from standins.virtual_fleet import FleetSettings, VirtualFleet
+
+_AGENTS: Final = 7
+_RUN_MS: Final = 50
+_LOAD: Final = 0.8
+_STEADY_MS: Final = 60_000
+_REPORT_MS: Final = 1000
+_WINDOW_MS: Final = 1000
+_SECOND_MS: Final = 1000
+_OVERLOAD: Final = 3
+_NORMAL_LOAD: Final = 0.5
+_OVERLOAD_START_MS: Final = 5000
+_OVERLOAD_END_MS: Final = 20_000
+_OVERLOAD_RUN_MS: Final = 35_000
+_DEADLINE_MS: Final = 1000
+_CLIENT_REPEATS: Final = 3
+
+
+class Arrival(msgspec.Struct, frozen=True):
+    """One request of a client.
+
+    Args:
+        at_ms: Time of arrival from the start of the run.
+        agent: Agent that the client is connected to.
+        run_ms: Time of the run on the target.
+    """
+
+    at_ms: float
+    agent: int
+    run_ms: float
+
+
+class Steady(msgspec.Struct, frozen=True, kw_only=True):
+    """Figures of a run at constant load."""
+
+    waits_ms: list[float]
+    balance: float
+    worst_second: float
+    messages: int
+
+
+def run() -> None:
+    """Prints the figures."""
+    for slots in (2, 1):
+        _print_steady(slots)
+    _print_overload()
+
+
+def arrivals(
+    random: Random, slots: int, phases: Sequence[tuple[float, float]]
+) -> list[Arrival]:
+    """Draws Poisson arrivals with exponential run times.
+
+    Args:
+        random: Source of the draws.
+        slots: Slots of the whole fleet.
+        phases: End in ms and load relative to capacity of each phase.
+    """
+    drawn = []
+    now_ms: float = 0
+    for end_ms, load in phases:
+        while now_ms < end_ms:
+            now_ms += random.expovariate(load * slots / _RUN_MS)
+            run_ms = random.expovariate(1 / _RUN_MS)
+            drawn.append(Arrival(now_ms, random.randrange(_AGENTS), run_ms))
+    return drawn
+
+
+def shared_queue(drawn: Sequence[Arrival], slots: int) -> list[float]:
+    """Returns the waits in one queue before all slots."""
+    free_ms = [float(0)] * slots
+    waits_ms = []
+    for arrival in drawn:
+        start_ms = max(arrival.at_ms, heapq.heappop(free_ms))
+        heapq.heappush(free_ms, start_ms + arrival.run_ms)
+        waits_ms.append(start_ms - arrival.at_ms)
+    return waits_ms
+
+
+def _print_steady(slots: int) -> None:
+    drawn = arrivals(Random(slots), slots * _AGENTS, [(_STEADY_MS, _LOAD)])
+    ideal_ms = _p99(shared_queue(drawn, slots * _AGENTS))
+    print(f'{_AGENTS} targets with {slots} slots at {_LOAD:.0%} load')
+    print(f'  shared queue: p99 wait {ideal_ms:.0f} ms')
+    for fanout in (0, 1, 2, 3, 6):
+        steady = _steady(drawn, slots, fanout)
+        wait_ms = _p99(steady.waits_ms)
+        print(
+            f'  offers to {fanout}: p99 wait {wait_ms:.0f} ms, '
+            f'{wait_ms / ideal_ms:.2f} of the shared queue; busy slots, '
+            f'largest over mean {steady.balance:.3f} over the run, '
+            f'{steady.worst_second:.2f} at the 99th percentile of seconds; '
+            f'{steady.messages / len(drawn):.1f} messages per request'
+        )
+
+
+def _steady(drawn: Sequence[Arrival], slots: int, fanout: int) -> Steady:
+    fleet = _fleet(
+        Limits(slots=slots, queue=1000), HandoverSettings(fanout=fanout)
+    )
+    start_ms = fleet.clock.now_ms()
+    for number, arrival in enumerate(drawn):
+        gevent.spawn(_client, fleet, number, arrival, 60_000)
+    busy: list[list[int]] = []
+    for _ in range(_STEADY_MS):
+        fleet.clock.advance(1)
+        busy.append([agent.target.busy for agent in fleet.agents])
+    fleet.clock.advance(_STEADY_MS)
+    started = {
+        entry.id: entry.started - start_ms
+        for entry in fleet.ledger.entries
+        if entry.finished is None
+    }
+    waits_ms = [
+        max(started[str(number)] - arrival.at_ms, 0)
+        for number, arrival in enumerate(drawn)
+    ]
+    seconds = [
+        _imbalance(busy[first : first + _WINDOW_MS])
+        for first in range(0, _STEADY_MS, _WINDOW_MS)
+    ]
+    return Steady(
+        waits_ms=waits_ms,
+        balance=_imbalance(busy),
+        worst_second=_p99(seconds),
+        messages=fleet.network.messages,
+    )
+
+
+def _imbalance(busy: Sequence[Sequence[int]]) -> float:
+    means = [fmean(samples) for samples in zip(*busy, strict=True)]
+    return max(means) / fmean(means)
+
+
+def _fleet(limits: Limits, handover: HandoverSettings) -> VirtualFleet:
+    return VirtualFleet(
+        settings=FleetSettings(
+            agents=_AGENTS,
+            limits=limits,
+            handover=handover,
+            report_ms=_REPORT_MS,
+        )
+    )
+
+
+def _client(
+    fleet: VirtualFleet, number: int, arrival: Arrival, left_ms: int
+) -> bool:
+    fleet.clock.sleep_ms(arrival.at_ms)
+    for _ in range(_CLIENT_REPEATS):
+        request = _request(fleet, number, arrival, left_ms)
+        exchange = fleet.agents[arrival.agent].send(request, CollectedAnswer())
+        exchange.task.join()
+        outcome = exchange.outcome
+        if outcome is None or outcome.kind is not OutcomeKind.NOT_RUN:
+            return exchange.answer.whole
+        fleet.clock.sleep_ms(outcome.retry_after_ms or _SECOND_MS)
+    return False
+
+
+def _request(
+    fleet: VirtualFleet, number: int, arrival: Arrival, left_ms: int
+) -> Request:
+    return Request(
+        method='POST',
+        path=f'/run?id={number}&ms={arrival.run_ms}',
+        headers=(),
+        body=BytesBody(),
+        service=1,
+        deadline_ms=fleet.clock.now_ms() + left_ms,
+        cancelled=Event(),
+        idempotent=False,
+    )
+
+
+def _print_overload() -> None:
+    slots = 2
+    total = slots * _AGENTS
+    drawn = arrivals(
+        Random(3),
+        total,
+        [
+            (_OVERLOAD_START_MS, _NORMAL_LOAD),
+            (_OVERLOAD_END_MS, _OVERLOAD),
+            (_OVERLOAD_RUN_MS, _NORMAL_LOAD),
+        ],
+    )
+    print(f'{_AGENTS} targets with {slots} slots at {_OVERLOAD} times capacity')
+    for name, done in (
+        ('limits and budget', _limited(drawn, slots)),
+        ('no limits', _unlimited(drawn, slots)),
+    ):
+        span_ms = _OVERLOAD_END_MS - _OVERLOAD_START_MS
+        useful_ms = sum(
+            arrival.run_ms
+            for arrival, end_ms in done
+            if _OVERLOAD_START_MS <= end_ms < _OVERLOAD_END_MS
+        )
+        print(
+            f'  {name}: goodput {useful_ms / span_ms / total:.1%} of '
+            f'capacity; normal again after {_recovery(drawn, done)}'
+        )
+
+
+def _limited(
+    drawn: Sequence[Arrival], slots: int
+) -> list[tuple[Arrival, float]]:
+    fleet = _fleet(Limits(slots=slots), HandoverSettings())
+    start_ms = fleet.clock.now_ms()
+    tasks = [
+        gevent.spawn(_client, fleet, number, arrival, _DEADLINE_MS)
+        for number, arrival in enumerate(drawn)
+    ]
+    fleet.clock.advance(_OVERLOAD_RUN_MS + 20 * _SECOND_MS)
+    ends_ms = {
+        entry.id: entry.finished - start_ms
+        for entry in fleet.ledger.entries
+        if entry.finished is not None
+    }
+    return [
+        (arrival, ends_ms[str(number)])
+        for number, arrival in enumerate(drawn)
+        if tasks[number].value
+    ]
+
+
+def _unlimited(
+    drawn: Sequence[Arrival], slots: int
+) -> list[tuple[Arrival, float]]:
+    """Runs everything in order of arrival; clients repeat after a timeout."""
+    free_ms = [[float(0)] * slots for _ in range(_AGENTS)]
+    pending = [
+        (arrival.at_ms, number, 0) for number, arrival in enumerate(drawn)
+    ]
+    heapq.heapify(pending)
+    done = []
+    while pending:
+        sent_ms, number, repeats = heapq.heappop(pending)
+        arrival = drawn[number]
+        queue = free_ms[arrival.agent]
+        end_ms = max(sent_ms, heapq.heappop(queue)) + arrival.run_ms
+        heapq.heappush(queue, end_ms)
+        if end_ms <= sent_ms + _DEADLINE_MS:
+            done.append((arrival, end_ms))
+        elif repeats < _CLIENT_REPEATS:
+            repeat = (sent_ms + _DEADLINE_MS, number, repeats + 1)
+            heapq.heappush(pending, repeat)
+    return done
+
+
+def _recovery(
+    drawn: Sequence[Arrival], done: Sequence[tuple[Arrival, float]]
+) -> str:
+    """Time until at least 99% of the new requests of a second succeed."""
+    answered = {arrival.at_ms for arrival, _ in done}
+    last_bad_ms = _OVERLOAD_END_MS
+    for first_ms in range(_OVERLOAD_END_MS, _OVERLOAD_RUN_MS, _SECOND_MS):
+        second = [
+            arrival.at_ms in answered
+            for arrival in drawn
+            if first_ms <= arrival.at_ms < first_ms + _SECOND_MS
+        ]
+        if fmean(second) < 0.99:
+            last_bad_ms = first_ms + _SECOND_MS
+    if last_bad_ms == _OVERLOAD_RUN_MS:
+        return f'more than {_OVERLOAD_RUN_MS - _OVERLOAD_END_MS} ms'
+    return f'{last_bad_ms - _OVERLOAD_END_MS} ms'
+
+
+def _p99(samples: Sequence[float]) -> float:
+    return quantiles(samples, n=100)[-1]
+
+
+if __name__ == '__main__':
+    run()
--- a/standins/target.py
+++ b/standins/target.py
@@ -5,7 +5,9 @@
 * ``POST /run?id=X[&ms=N][&fault=F]`` works for N ms and is recorded in the
   ledger. Faults: ``refuse`` (503 before the start), ``drop`` (closes before
   the start without an answer), ``lost`` (runs, then closes), ``cut`` (runs,
-  then closes in the middle of the answer), ``deaf`` (ignores cancellation).
+  then closes in the middle of the answer), ``bare`` (answers without a
+  length and closes), ``error`` (runs, then answers 503), ``deaf`` (ignores
+  cancellation).
 * ``GET /picture?bytes=N&seed=S`` sends checkable content.
 * ``GET /stream[?ms=N][&count=N]`` sends server-sent events without end.
 * ``GET /echo`` returns the request as JSON.
@@ -296,8 +298,12 @@
             self.close_connection = True
             self._head(200, ('Content-Length', str(len(content))))
             self.wfile.write(content[: len(content) // 2])
+        elif fault == 'bare':
+            self.close_connection = True
+            self._head(200)
+            self.wfile.write(content)
         else:
-            self._answer(200, content)
+            self._answer(503 if fault == 'error' else 200, content)
 
     def _answer_json(self, fields: dict[str, Any]) -> None:
         content = json.dumps(fields).encode()
--- a/standins/virtual_fleet.py
+++ b/standins/virtual_fleet.py
@@ -43,6 +43,7 @@
     key_lifetime_ms: int = 60_000
     table_bytes: int = 1 << 20
     retention_ms: int = 60_000
+    report_ms: int = 0
     seed: int = 1
 
 
@@ -71,6 +72,8 @@
             delay_ms=settings.delay_ms,
             loss=settings.loss,
         )
+        self._reports: dict[Address, Peer] = {}
+        self._reported_ms = 0
         self.sealer = KeySealer(keys={1: bytes(range(64))}, active=1)
         self.agents = [
             VirtualAgent(fleet=self, number=number, incarnation=1)
@@ -89,12 +92,21 @@
 
     def peers_of(self, asking: 'VirtualAgent') -> list[Peer]:
         """Lists the agents that are alive and not draining."""
-        others = [
-            agent
+        self._refresh()
+        return [
+            self._reports[agent.identity.address]
             for agent in self.agents
             if agent is not asking and agent.listed
         ]
-        return [agent.as_peer() for agent in others]
+
+    def _refresh(self) -> None:
+        """Renews the load reports when they are due."""
+        age_ms = self.clock.now_ms() - self._reported_ms
+        if age_ms < self.settings.report_ms:
+            return
+        self._reported_ms = self.clock.now_ms()
+        for agent in self.agents:
+            self._reports[agent.identity.address] = agent.as_peer()
 
 
 class VirtualAgent:
--- a/tests/target/test_http_edge.py
+++ b/tests/target/test_http_edge.py
@@ -79,6 +79,8 @@
         ('drop', OutcomeKind.UNKNOWN, 0),
         ('lost', OutcomeKind.UNKNOWN, 1),
         ('cut', OutcomeKind.UNKNOWN, 1),
+        ('bare', OutcomeKind.UNKNOWN, 1),
+        ('error', OutcomeKind.ANSWERED, 1),
     ],
 )
 def test_outcome_agrees_with_the_ledger(
