--- /dev/null
+++ b/anvilthread/routing/candidate.py
@@ -0,0 +1,34 @@
+"""An agent that may receive new connections of a service."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from anvilthread.address import Address
+
+
+class Candidate(msgspec.Struct, frozen=True, kw_only=True):
+    """One agent of a service as membership shows it.
+
+    Args:
+        agent: Data address of the agent.
+        incarnation: Incarnation of the agent.
+        weight: Share of the load relative to other candidates, for example
+            the number of slots; above 0.
+        site: Site of the agent.
+        cold: Whether the target is known to be in its slow start. A load
+            report overrides it.
+        draining: Whether the agent refuses new connections.
+    """
+
+    agent: Address
+    incarnation: int = 0
+    weight: float = 1
+    site: str = ''
+    cold: bool = False
+    draining: bool = False
+
+
+def not_draining(candidates: Iterable[Candidate]) -> list[Candidate]:
+    """Returns the candidates that take new connections."""
+    return [candidate for candidate in candidates if not candidate.draining]
--- /dev/null
+++ b/anvilthread/routing/load_report.py
@@ -0,0 +1,54 @@
+"""The load of one agent as it reports it to a balancer."""
+
+from typing import Final
+
+import msgspec
+
+from anvilthread.address import Address
+
+#: Warmth of a target that has finished its slow start.
+FULL_WARMTH_PERCENT: Final = 100
+
+
+class LoadReport(msgspec.Struct, frozen=True, kw_only=True):
+    """What an agent knows of its own load.
+
+    Counters are totals of the incarnation and wrap at 32 bits.
+
+    Args:
+        service: Number of the service.
+        agent: Data address of the agent.
+        incarnation: Incarnation of the agent; a higher one replaces all
+            earlier reports.
+        sequence: Number of the report within the incarnation.
+        connections: Open connections.
+        busy: Slots of the target in use.
+        waiting: Requests in the queue.
+        slots: Slots of the target.
+        accepted: Connections accepted.
+        placed: First packets received directly from any balancer, whether
+            accepted or passed on.
+        received: First packets received directly from the balancer to which
+            this report goes.
+        warmth_percent: Progress of the slow start, 0 to 100.
+        draining: Whether the agent refuses new connections.
+    """
+
+    service: int
+    agent: Address
+    incarnation: int
+    sequence: int
+    connections: int
+    busy: int = 0
+    waiting: int = 0
+    slots: int = 1
+    accepted: int = 0
+    placed: int = 0
+    received: int = 0
+    warmth_percent: int = FULL_WARMTH_PERCENT
+    draining: bool = False
+
+    @property
+    def cold(self) -> bool:
+        """Whether the target is still in its slow start."""
+        return self.warmth_percent < FULL_WARMTH_PERCENT
