--- /dev/null
+++ b/anvilthread/routing/admission_bound.py
@@ -0,0 +1,130 @@
+"""Bound on the connections of an agent relative to its peers."""
+
+from statistics import median_high
+from typing import Final
+
+from anvilthread.address import Address
+from anvilthread.clock import Clock
+from anvilthread.routing.first_packet_action import FirstPacketAction
+from anvilthread.routing.load_report import FULL_WARMTH_PERCENT, LoadReport
+from anvilthread.routing.peer_load import PeerLoad
+
+#: Connections relative to the usual level of the peers.
+DEFAULT_RATIO: Final = 1.03
+
+#: Connections above the usual level that are always allowed.
+DEFAULT_MARGIN: Final = 2
+
+#: Peers whose reports an agent keeps.
+DEFAULT_CAPACITY: Final = 16
+
+
+class AdmissionBound:
+    """Decides whether an agent accepts a first packet.
+
+    The usual level is the median of connections per slot over this agent and
+    its warm peers. A mean would let one peer that reports zero, or cold peers
+    that are still empty, make every agent pass on its packets. With a single
+    peer there is no bound, because neither side can tell which one is wrong.
+
+    Args:
+        clock: Clock by which peers' reports age.
+        slots: Slots of this agent's target.
+        ratio: Largest accepted level relative to the usual one.
+        margin: Connections above the usual level that are always allowed.
+        capacity: Most peers to keep.
+    """
+
+    __slots__ = ('_capacity', '_clock', '_margin', '_peers', '_ratio', '_slots')
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        slots: int = 1,
+        ratio: float = DEFAULT_RATIO,
+        margin: int = DEFAULT_MARGIN,
+        capacity: int = DEFAULT_CAPACITY,
+    ) -> None:
+        self._clock = clock
+        self._slots = slots
+        self._ratio = ratio
+        self._margin = margin
+        self._capacity = capacity
+        self._peers: dict[Address, PeerLoad] = {}
+
+    def accept(self, report: LoadReport) -> bool:
+        """Takes a report of another agent of the service.
+
+        Returns:
+            False if it is not newer than the last one or there are already
+            enough peers.
+        """
+        peer = self._peers.get(report.agent)
+        if peer is None:
+            self._remove_silent()
+            if len(self._peers) >= self._capacity:
+                return False
+            peer = PeerLoad()
+            self._peers[report.agent] = peer
+        return peer.accept(report, self._clock.now_ms())
+
+    def decide(
+        self,
+        *,
+        connections: int,
+        hops: int,
+        has_alternate: bool,
+        draining: bool = False,
+        warmth_percent: int = FULL_WARMTH_PERCENT,
+    ) -> FirstPacketAction:
+        """Decides on one first packet.
+
+        Args:
+            connections: Open connections by this agent's own count.
+            hops: How often the packet has been passed on.
+            has_alternate: Whether the packet names an alternate.
+            draining: Whether this agent refuses new connections.
+            warmth_percent: Progress of the target's slow start.
+        """
+        can_pass = has_alternate and hops == 0
+        if draining:
+            return (
+                FirstPacketAction.PASS_ON
+                if can_pass
+                else FirstPacketAction.DROP
+            )
+        if can_pass and connections >= self.limit(connections, warmth_percent):
+            return FirstPacketAction.PASS_ON
+        return FirstPacketAction.ACCEPT
+
+    def limit(
+        self, connections: int, warmth_percent: int = FULL_WARMTH_PERCENT
+    ) -> float:
+        """Returns the bound; infinite while no warm peer reports.
+
+        Args:
+            connections: Open connections by this agent's own count.
+            warmth_percent: Progress of the target's slow start.
+        """
+        now_ms = self._clock.now_ms()
+        levels = [
+            peer.level(now_ms)
+            for peer in self._peers.values()
+            if peer.is_usable(now_ms)
+        ]
+        if not levels:
+            return float('inf')
+        if warmth_percent == FULL_WARMTH_PERCENT:
+            levels.append(connections / self._slots)
+        usual = median_high(levels) * self._slots
+        usual *= warmth_percent / FULL_WARMTH_PERCENT
+        return max(usual * self._ratio, usual + self._margin)
+
+    def _remove_silent(self) -> None:
+        now_ms = self._clock.now_ms()
+        self._peers = {
+            agent: peer
+            for agent, peer in self._peers.items()
+            if not peer.is_silent(now_ms)
+        }
--- a/anvilthread/routing/agent_load.py
+++ b/anvilthread/routing/agent_load.py
@@ -8,7 +8,6 @@
 from anvilthread.routing.report_statistics import ReportStatistics
 
 _COUNTER_MASK: Final = 0xFFFFFFFF
-_HALF_RANGE: Final = 0x80000000
 _SAMPLE_MS: Final = 500
 
 #: A send that no report has confirmed for this long counts as lost.
@@ -29,11 +28,11 @@
         '_sampled_ms',
         '_sends',
         'confirmed',
+        'expected',
         'handicap',
         'report',
         'reported_ms',
         'sent',
-        'share',
         'statistics',
     )
 
@@ -44,9 +43,11 @@
         self.sent = 0
         #: Of these, the ones that the last report includes, or lost ones.
         self.confirmed = 0
-        #: Own sends whose connections are estimated to be open.
-        self.share: float = 0
-        #: Addition to the share while there is no report to rely on.
+        #: Open connections by this balancer's sends alone, scaled to all
+        #: balancers at the time of each send.
+        self.expected: float = 0
+        #: Addition to the expected connections per weight since the reports
+        #: have become too old.
         self.handicap: float | None = None
         self.statistics = ReportStatistics()
         self._offset: int | None = None
@@ -60,20 +61,18 @@
         """Own sends that the last report does not include yet."""
         return self.sent - self.confirmed
 
-    def record_send(self) -> None:
-        """Counts a first packet that this balancer sends to the agent."""
+    def record_send(self, multiplier: float) -> None:
+        """Counts a first packet that this balancer sends to the agent.
+
+        Args:
+            multiplier: Sends of all balancers for one of this balancer's.
+        """
         self.sent += 1
-        self.share += 1
+        self.expected += multiplier
 
     def is_newer(self, report: LoadReport) -> bool:
         """Tells whether a report follows the last one."""
-        last = self.report
-        if last is None or report.incarnation > last.incarnation:
-            return True
-        if report.incarnation < last.incarnation:
-            return False
-        ahead = (report.sequence - last.sequence) & _COUNTER_MASK
-        return 0 < ahead < _HALF_RANGE
+        return self.report is None or report.follows(self.report)
 
     def accept(self, report: LoadReport, now_ms: int) -> None:
         """Takes a report for which :meth:`is_newer` holds."""
@@ -84,10 +83,10 @@
         self._sample(report, now_ms, lost)
 
     def decay(self, departure_rate: float, now_ms: int) -> None:
-        """Removes ended connections from the share of this balancer."""
+        """Removes ended connections from the expected ones."""
         elapsed_ms = now_ms - self._decayed_ms
         self._decayed_ms = now_ms
-        self.share *= math.exp(-departure_rate * elapsed_ms)
+        self.expected *= math.exp(-departure_rate * elapsed_ms)
 
     def _confirm(self, report: LoadReport, now_ms: int) -> int:
         """Updates the confirmed sends; returns how many were lost."""
--- a/anvilthread/routing/load_aware_placement.py
+++ b/anvilthread/routing/load_aware_placement.py
@@ -68,7 +68,7 @@
         if levels is None or not levels.members:
             return None
         chosen, alternate = levels.choose(hash_key(flow_key))
-        chosen.load.record_send()
+        chosen.load.record_send(levels.multiplier)
         return PlacementDecision(
             agent=chosen.candidate.agent,
             alternate=None if alternate is None else alternate.candidate.agent,
--- a/anvilthread/routing/load_report.py
+++ b/anvilthread/routing/load_report.py
@@ -9,6 +9,9 @@
 #: Warmth of a target that has finished its slow start.
 FULL_WARMTH_PERCENT: Final = 100
 
+_COUNTER_MASK: Final = 0xFFFFFFFF
+_HALF_RANGE: Final = 0x80000000
+
 
 class LoadReport(msgspec.Struct, frozen=True, kw_only=True):
     """What an agent knows of its own load.
@@ -52,3 +55,13 @@
     def cold(self) -> bool:
         """Whether the target is still in its slow start."""
         return self.warmth_percent < FULL_WARMTH_PERCENT
+
+    def follows(self, earlier: 'LoadReport') -> bool:
+        """Tells whether this report is newer than an earlier one.
+
+        Sequence numbers are compared as in RFC 1982, because they wrap.
+        """
+        if self.incarnation != earlier.incarnation:
+            return self.incarnation > earlier.incarnation
+        ahead = (self.sequence - earlier.sequence) & _COUNTER_MASK
+        return 0 < ahead < _HALF_RANGE
--- a/anvilthread/routing/service_levels.py
+++ b/anvilthread/routing/service_levels.py
@@ -20,10 +20,14 @@
 _LEAST_WARMTH_PERCENT: Final = 5
 _TRUSTED_AGE_MS: Final = 3000
 _DISCOUNT_MS: Final = 3000
+# Too high a value delays the correction of an uneven load; too low a value
+# lets several balancers that have just started correct it twice.
 _PRIOR_MULTIPLIER: Final = 4
 _PRIOR_SENDS: Final = 2
 _MAX_MULTIPLIER: Final = 100
 _FEWEST_SENDS: Final = 8
+# Reports of fewer connections than this part of the expected ones mislead.
+_LEAST_PLAUSIBLE: Final = 0.7
 # Candidates within this part of the usual level are chosen by hash, so that
 # a repeated first packet usually goes to the same agent.
 _SLACK: Final = 0.005
@@ -37,6 +41,7 @@
     load: AgentLoad
     node_hash: int
     weight: float = 1
+    plausible: bool = True
     confidence: float = 0
     level: float = 0
 
@@ -61,6 +66,7 @@
         '_weights',
         'levels',
         'members',
+        'multiplier',
         'slack',
         'steps',
     )
@@ -81,6 +87,9 @@
         self.levels: list[float] = []
         #: Rise of the level with one own send, by member.
         self.steps: list[float] = []
+        #: Sends of all balancers for one of this balancer's, 1 until known:
+        #: too high a value would make true reports look misleading.
+        self.multiplier: float = 1
         #: Difference of levels that is not worth another agent.
         self.slack: float = 0
 
@@ -133,15 +142,17 @@
     def refresh(self, now_ms: int) -> None:
         """Computes all levels from the loads."""
         members = self._open_members()
-        multiplier = _multiplier(members)
+        multiplier = _multiplier(members, _PRIOR_MULTIPLIER)
         departure_rate = _departure_rate(members)
         for member in members:
             member.load.decay(departure_rate, now_ms)
             member.weight = _weight(member)
-            member.confidence = _confidence(member, multiplier, now_ms)
+            member.plausible = _is_plausible(member, multiplier)
+            member.confidence = _confidence(member, now_ms)
             member.level = _reported(member, multiplier, departure_rate, now_ms)
         self.members = members
-        self._discount(multiplier)
+        self.multiplier = _multiplier(members, 1)
+        self._discount()
         self.levels = [member.level for member in members]
         self.steps = [multiplier / member.weight for member in members]
         self._node_hashes = [member.node_hash for member in members]
@@ -159,20 +170,18 @@
                 )
         return members
 
-    def _discount(self, multiplier: float) -> None:
+    def _discount(self) -> None:
         """Moves members without a usable report to their usual share."""
         members = self.members
-        usual = _usual(
-            [member.level for member in members if member.confidence == 1]
-        )
-        share = _usual(
-            [member.load.share / member.weight for member in members]
+        reliable = [member for member in members if member.confidence == 1]
+        usual = _usual([member.level for member in reliable or members])
+        expected = _usual(
+            [member.load.expected / member.weight for member in members]
         )
         self.slack = usual * _SLACK
         for member in members:
             if member.confidence < 1:
-                kept = _kept_share(member, share)
-                level = max(usual + multiplier * (kept - share), 0)
+                level = usual + _lead(member, usual, expected)
                 member.level += (1 - member.confidence) * (level - member.level)
 
 
@@ -186,13 +195,17 @@
     return member.candidate.weight * warmth / FULL_WARMTH_PERCENT
 
 
-def _multiplier(members: Sequence[CandidateLoad]) -> float:
+def _multiplier(members: Sequence[CandidateLoad], prior: float) -> float:
+    """Returns the sends of all balancers for one of this balancer's.
+
+    Args:
+        members: Candidates whose reports are compared.
+        prior: Result without reports.
+    """
     statistics = [member.load.statistics for member in members]
     placed = sum(entry.placed for entry in statistics)
     received = sum(entry.received for entry in statistics)
-    ratio = (placed + _PRIOR_MULTIPLIER * _PRIOR_SENDS) / (
-        received + _PRIOR_SENDS
-    )
+    ratio = (placed + prior * _PRIOR_SENDS) / (received + _PRIOR_SENDS)
     return min(max(ratio, 1), _MAX_MULTIPLIER)
 
 
@@ -201,17 +214,21 @@
     return _usual([rate for rate in rates if rate is not None])
 
 
-def _confidence(member: CandidateLoad, multiplier: float, now_ms: int) -> float:
+def _is_plausible(member: CandidateLoad, multiplier: float) -> bool:
+    """Tells whether the last report agrees with this balancer's sends."""
     load = member.load
-    report = load.report
-    if report is None or not load.statistics.confirms_sends:
-        return 0
-    visible = load.share - load.pending
-    if visible > _FEWEST_SENDS and (
-        report.connections < multiplier * visible / 2
-    ):
+    if load.report is None or not load.statistics.confirms_sends:
+        return load.report is None
+    visible = load.expected - multiplier * load.pending
+    return visible <= multiplier * _FEWEST_SENDS or (
+        load.report.connections >= visible * _LEAST_PLAUSIBLE
+    )
+
+
+def _confidence(member: CandidateLoad, now_ms: int) -> float:
+    if member.load.report is None or not member.plausible:
         return 0
-    over_ms = now_ms - load.reported_ms - _TRUSTED_AGE_MS
+    over_ms = now_ms - member.load.reported_ms - _TRUSTED_AGE_MS
     return min(max(1 - over_ms / _DISCOUNT_MS, 0), 1)
 
 
@@ -231,19 +248,20 @@
     return (open_connections + multiplier * load.pending) / member.weight
 
 
-def _kept_share(member: CandidateLoad, usual_share: float) -> float:
-    """Own share per weight, at least the usual one when it fell silent.
+def _lead(member: CandidateLoad, usual: float, expected: float) -> float:
+    """Returns by how much a member is above the usual level.
 
-    A silent agent may have failed; catching up would send it most new
-    connections.
+    A member that falls silent keeps its last level, but at least the usual
+    one: it may have failed, and catching up would send it most new
+    connections. One with misleading reports is compared by own sends alone.
     """
     load = member.load
-    kept = load.share / member.weight
-    if load.report is not None and not load.statistics.confirms_sends:
-        return kept
+    lead = load.expected / member.weight - expected
+    if load.report is not None and not member.plausible:
+        return lead
     if load.handicap is None:
-        load.handicap = max(usual_share - kept, 0)
-    return kept + load.handicap
+        load.handicap = max(member.level - usual, 0) - lead
+    return lead + load.handicap
 
 
 def _usual(values: Sequence[float]) -> float:
