Ask a peer about members that others suspect

Nodes that have not probed a suspected member now ask a random peer about it every 750 ms, and never declare it dead themselves. Each change is sent three instead of two times log2 of the members.

--- a/anvilthread/membership/membership_settings.py
+++ b/anvilthread/membership/membership_settings.py
@@ -32,9 +32,9 @@
     #: that it is suspected.
     confirming_nodes: int = 6
 
-    #: Time to death at a node that has not probed the member itself; covers
-    #: the loss of the announcement by those that have.
-    suspicion_fallback_ms: int = 4000
+    #: Period in which a node asks peers about a member that others suspect;
+    #: covers the loss of the announcement of its death.
+    suspicion_inquiry_ms: int = 750
     suspect_probe_period_ms: int = 150
 
     #: Period of the task that checks timers; granularity of all timers.
@@ -69,7 +69,7 @@
     burst_bytes: int = 12_288
 
     #: Each change is sent this factor times log2 of the members.
-    retransmission_factor: int = 2
+    retransmission_factor: int = 3
     queued_changes: int = 2048
     change_fanout: int = 2
 
--- a/anvilthread/membership/responder.py
+++ b/anvilthread/membership/responder.py
@@ -1,6 +1,7 @@
 """Answers to the probes of peers."""
 
 from anvilthread.address import Address
+from anvilthread.membership.member import Member
 from anvilthread.membership.node_context import NodeContext
 from anvilthread.membership.pinger import Pinger
 from anvilthread.membership.probe_messages import (
@@ -52,4 +53,12 @@
             timeout_ms = self._pinger.timeout_ms(member)
             reached = context.clock.wait(exchange.answered, timeout_ms)
         reply = IndirectAck(sequence=message.sequence, reached=reached)
-        context.outbox.send(sender, reply)
+        known = () if member is None else self._known_death(member)
+        context.outbox.send(sender, reply, first=known)
+
+    def _known_death(self, member: Member) -> tuple[Change, ...]:
+        """Returns what a peer that still probes a dead member has missed."""
+        latest = self._context.table.get(member.control_address)
+        if latest is None or latest.is_live:
+            return ()
+        return (Change.of(latest),)
--- a/anvilthread/membership/suspicion.py
+++ b/anvilthread/membership/suspicion.py
@@ -9,8 +9,8 @@
 class Suspicion:
     """Who suspects a member, and when this node gives up on it.
 
-    Only nodes that have probed the member themselves declare it dead early;
-    they go on probing it until then. The others wait for the announcement.
+    Only nodes that have probed the member themselves declare it dead; they go
+    on probing it until then. The others wait for the announcement.
 
     Args:
         incarnation: Suspected incarnation.
@@ -53,9 +53,15 @@
         return self._since_ms
 
     def must_ask(self, now_ms: int) -> bool:
-        """Whether it is time for this node to probe the member again."""
+        """Whether it is time to find out more about the member.
+
+        A node that has probed the member probes it again; another one asks
+        a peer what has become of it.
+        """
         period_ms = self._settings.suspect_probe_period_ms
-        if self._probed_ms is None or now_ms - self._asked_ms < period_ms:
+        if self._probed_ms is None:
+            period_ms = self._settings.suspicion_inquiry_ms
+        if now_ms - self._asked_ms < period_ms:
             return False
         self._asked_ms = now_ms
         return True
@@ -91,7 +97,7 @@
                 possible confirmations follows.
         """
         if self._probed_ms is None:
-            return self._since_ms + self._settings.suspicion_fallback_ms
+            return math.inf
         shortest = self._settings.suspicion_min_ms
         wanted = min(self._settings.suspicion_confirmations, members - 2)
         confirmed = min(len(self._reporters) - 1, wanted)
--- a/anvilthread/membership/suspicion_monitor.py
+++ b/anvilthread/membership/suspicion_monitor.py
@@ -4,6 +4,7 @@
 from anvilthread.membership.node_context import NodeContext
 from anvilthread.membership.pinger import Pinger
 from anvilthread.membership.suspicion import Suspicion
+from anvilthread.membership.sync_messages import SyncRecords
 from anvilthread.membership.witnesses import Witnesses
 
 
@@ -36,8 +37,7 @@
         context = self._context
         now_ms = context.clock.now_ms()
         if suspicion.must_ask(now_ms):
-            self._pinger.ping(member)
-            context.contact.want(member.site)
+            self._ask(member, suspicion)
         if now_ms < suspicion.due_ms(len(context.table.index.live)):
             return
         since_ms = suspicion.probed_ms or suspicion.since_ms
@@ -46,3 +46,15 @@
             context.outbox.spread()
         else:
             context.contact.want(member.site)
+
+    def _ask(self, member: Member, suspicion: Suspicion) -> None:
+        context = self._context
+        if suspicion.probed_ms is not None:
+            self._pinger.ping(member)
+            context.contact.want(member.site)
+            return
+        packed = member.control_address.pack()
+        inquiry = SyncRecords(round=0, entries=(), wanted=(packed,))
+        peer = context.table.index.live.draw(context.random)
+        if peer is not None and peer != context.own.member.control_address:
+            context.outbox.send_limited(peer, inquiry)
