Add a UDP transport with a keyed tag

Datagrams carry an 8-byte keyed BLAKE2b tag; several keys are accepted during a rotation. Forged, malformed and unsent datagrams are counted and dropped.

--- a/anvilthread/membership/outbox.py
+++ b/anvilthread/membership/outbox.py
@@ -16,12 +16,12 @@
 from anvilthread.membership.probe_messages import Gossip
 from anvilthread.membership.token_bucket import TokenBucket
 from anvilthread.membership.wire import (
-    MAX_DATAGRAM_BYTES,
     Change,
     Message,
     Record,
 )
 from anvilthread.transport import Transport
+from anvilthread.transport.transport import MAX_DATAGRAM_BYTES
 
 #: Room for the tag that the transport adds.
 _TAG_BYTES: Final = 16
--- a/anvilthread/membership/wire.py
+++ b/anvilthread/membership/wire.py
@@ -1,6 +1,6 @@
 """Parts that several membership messages share."""
 
-from typing import Annotated, Final
+from typing import Annotated
 
 import msgspec
 
@@ -9,9 +9,6 @@
 from anvilthread.membership.member_state import MemberState
 from anvilthread.membership.role import Role
 
-#: Largest datagram, tag included; passes any usual path unfragmented.
-MAX_DATAGRAM_BYTES: Final = 1200
-
 PackedAddress = Annotated[
     bytes,
     msgspec.Meta(
--- /dev/null
+++ b/anvilthread/transport/keyed_tag.py
@@ -0,0 +1,63 @@
+"""Authentication of datagrams with shared keys."""
+
+import hashlib
+import hmac
+from typing import Final
+
+from anvilthread.error import AnvilthreadError
+
+#: Length of a tag in bytes.
+TAG_SIZE: Final = 8
+
+#: Permitted lengths of a key in bytes.
+KEY_SIZES: Final = range(16, hashlib.blake2b.MAX_KEY_SIZE + 1)
+
+
+class DatagramKeyError(AnvilthreadError):
+    """The datagram keys of the settings cannot be used."""
+
+
+class KeyedTag:
+    """Signs datagrams with one key and accepts several.
+
+    Args:
+        keys: The current key first; the others are accepted during rotation.
+        purpose: Up to 16 bytes that keep a datagram of one kind from being
+            accepted as another kind under the same key.
+
+    Raises:
+        DatagramKeyError: If there is no key or a key has a wrong length.
+    """
+
+    __slots__ = ('_accepted',)
+
+    def __init__(self, *, keys: tuple[bytes, ...], purpose: bytes) -> None:
+        if not keys or any(len(key) not in KEY_SIZES for key in keys):
+            raise DatagramKeyError(
+                reason='a datagram key is missing or has a wrong length',
+                remedy='give at least one key of 16 to 64 bytes',
+            )
+        # Copying a keyed state is cheaper than hashing the key per datagram.
+        self._accepted = [
+            hashlib.blake2b(key=key, digest_size=TAG_SIZE, person=purpose)
+            for key in keys
+        ]
+
+    def seal(self, payload: bytes) -> bytes:
+        """Returns the tag and the payload."""
+        return _tag(self._accepted[0], payload) + payload
+
+    def open(self, datagram: bytes) -> bytes | None:
+        """Returns the payload, or None if no accepted key made the tag."""
+        payload = datagram[TAG_SIZE:]
+        tag = datagram[:TAG_SIZE]
+        for state in self._accepted:
+            if hmac.compare_digest(_tag(state, payload), tag):
+                return payload
+        return None
+
+
+def _tag(state: 'hashlib.blake2b', payload: bytes) -> bytes:
+    copied = state.copy()
+    copied.update(payload)
+    return copied.digest()
--- a/anvilthread/transport/transport.py
+++ b/anvilthread/transport/transport.py
@@ -1,10 +1,13 @@
 """The interface through which components exchange messages."""
 
-from typing import Protocol
+from typing import Final, Protocol
 
 from anvilthread.address import Address
 from anvilthread.transport.received import Received
 
+#: Largest datagram, tag included; passes any usual path unfragmented.
+MAX_DATAGRAM_BYTES: Final = 1200
+
 
 class Transport(Protocol):
     """Unreliable, unordered exchange of whole messages between nodes.
--- /dev/null
+++ b/anvilthread/transport/udp_transport.py
@@ -0,0 +1,129 @@
+"""Messages between nodes as UDP datagrams."""
+
+from contextlib import suppress
+from typing import Final, NoReturn
+
+from gevent import socket
+from gevent.event import Event
+
+from anvilthread.address import Address
+from anvilthread.transport.keyed_tag import TAG_SIZE, KeyedTag
+from anvilthread.transport.received import Received
+from anvilthread.transport.transport import MAX_DATAGRAM_BYTES
+
+_PURPOSE: Final = b'anvilthread-udp'
+
+#: Larger than any datagram that is accepted, so that a longer one shows.
+_READ_BYTES: Final = MAX_DATAGRAM_BYTES + 1
+
+
+class UdpTransport:
+    """Exchanges messages with the holders of the cluster's keys.
+
+    Each datagram carries a keyed BLAKE2b tag. The tag does not cover the
+    sender's address and does not prevent replay; the messages carry numbers
+    that make a repeated one harmless.
+
+    Args:
+        address: Local address; port 0 takes a free port.
+        keys: The current key first, each 16 to 64 bytes. To rotate, add the
+            new key as the last one everywhere, then move it to the front
+            everywhere, then remove the old one.
+
+    Raises:
+        DatagramKeyError: If there is no key or a key has a wrong length.
+        OSError: If the address cannot be bound.
+    """
+
+    __slots__ = (
+        '_address',
+        '_forged',
+        '_is_closed',
+        '_malformed',
+        '_sending',
+        '_socket',
+        '_tag',
+        '_unsent',
+    )
+
+    def __init__(self, *, address: Address, keys: tuple[bytes, ...]) -> None:
+        self._tag = KeyedTag(keys=keys, purpose=_PURPOSE)
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind(address.endpoint)
+        # A second object for the same socket: only sending must not block.
+        self._sending = self._socket.dup()
+        self._sending.setblocking(False)
+        host, port = self._socket.getsockname()
+        self._address = Address(host=host, port=port)
+        self._is_closed = False
+        self._forged = 0
+        self._malformed = 0
+        self._unsent = 0
+
+    @property
+    def address(self) -> Address:
+        """Address at which this node receives."""
+        return self._address
+
+    @property
+    def forged(self) -> int:
+        """Datagrams dropped because no accepted key made their tag."""
+        return self._forged
+
+    @property
+    def malformed(self) -> int:
+        """Datagrams dropped because they were too short or too long."""
+        return self._malformed
+
+    @property
+    def unsent(self) -> int:
+        """Messages lost because they were too long or the system refused."""
+        return self._unsent
+
+    def send(self, address: Address, payload: bytes) -> None:
+        """Sends without blocking; a message that cannot be sent is lost."""
+        datagram = self._tag.seal(payload)
+        if len(datagram) > MAX_DATAGRAM_BYTES:
+            self._unsent += 1
+            return
+        try:
+            self._sending.sendto(datagram, address.endpoint)
+        except OSError:
+            self._unsent += 1
+
+    def receive(self) -> Received:
+        """Blocks the calling task until an authentic message arrives."""
+        while True:
+            datagram, endpoint = self._read()
+            payload = self._authenticate(datagram)
+            if payload is not None:
+                host, port = endpoint
+                sender = Address(host=host, port=port)
+                return Received(sender=sender, payload=payload)
+
+    def close(self) -> None:
+        """Closes the socket; tasks blocked in receive do not resume."""
+        self._is_closed = True
+        self._sending.close()
+        self._socket.close()
+
+    def _read(self) -> tuple[bytes, tuple[str, int]]:
+        while not self._is_closed:
+            # An error here belongs to an earlier send, or to the closing.
+            with suppress(OSError):
+                return self._socket.recvfrom(_READ_BYTES)
+        _never_resume()
+
+    def _authenticate(self, datagram: bytes) -> bytes | None:
+        if not TAG_SIZE < len(datagram) <= MAX_DATAGRAM_BYTES:
+            self._malformed += 1
+            return None
+        payload = self._tag.open(datagram)
+        if payload is None:
+            self._forged += 1
+        return payload
+
+
+def _never_resume() -> NoReturn:
+    while True:
+        Event().wait()
