Run both daemons and a demonstration of two clusters

The daemons wire membership, placement, admission, outcomes and the data path.

Service rules now decide by method and path, as the configuration states them; the longest deadline that a client may state is a constant. Datagrams carry the service address, since a service can have several.

--- /dev/null
+++ b/anvilthread/agent/agent.py
@@ -0,0 +1,246 @@
+"""The agent daemon."""
+
+from typing import Final
+
+from aioquic.h3.connection import H3_ALPN
+from aioquic.quic.configuration import QuicConfiguration
+
+from anvilthread.agent.agent_admission import AgentAdmission
+from anvilthread.agent.agent_metrics import AgentMetrics
+from anvilthread.agent.client_connection import ClientConnection
+from anvilthread.agent.connection_id_issuer import ConnectionIdIssuer
+from anvilthread.agent.load_reporter import REPORT_PERIOD_MS, LoadReporter
+from anvilthread.agent.member_balancers import MemberBalancers
+from anvilthread.agent.member_peers import MemberPeers
+from anvilthread.agent.operations import AgentOperations
+from anvilthread.agent.packet_server import PacketServer
+from anvilthread.agent.request_pipeline import RequestPipeline
+from anvilthread.agent.request_streams import RequestStreams
+from anvilthread.configuration.configuration import Configuration
+from anvilthread.configuration.service import Service
+from anvilthread.daemon.configuration_task import ConfigurationTask
+from anvilthread.daemon.node import Node
+from anvilthread.daemon.packet_metrics import PacketMetrics
+from anvilthread.membership import Role
+from anvilthread.outcomes import RequestClassifier
+from anvilthread.routing.admission_bound import AdmissionBound
+from anvilthread.routing.connection_id_codec import CONNECTION_ID_SIZE
+from anvilthread.routing.load_report_codec import LoadReportCodec
+from anvilthread.routing.slow_start import SlowStart
+from anvilthread.settings import AgentSettings, Keys
+
+_MAX_CONNECTIONS: Final = 20_000
+_IDLE_TIMEOUT_S: Final = 60
+_WINDOW: Final = 1 << 20
+_POLL_MS: Final = 100
+_CLOSE_MS: Final = 200
+
+
+class Agent:
+    """Wires the data path, the requests, membership and configuration.
+
+    Args:
+        settings: Settings of the process.
+
+    Raises:
+        AnvilthreadError: If keys, certificate or configuration are unusable.
+        OSError: If an address cannot be bound.
+    """
+
+    __slots__ = (
+        '_decisions',
+        '_metrics',
+        '_node',
+        '_peers',
+        '_pipeline',
+        '_reports',
+        '_rules',
+        '_server',
+        '_settings',
+        '_bound',
+        '_balancers',
+    )
+
+    def __init__(self, *, settings: AgentSettings) -> None:
+        self._settings = settings
+        self._node = Node(
+            settings=settings, role=Role.AGENT, slots=settings.slots
+        )
+        node = self._node
+        self._rules: dict[int, Service] = {}
+        self._reports = LoadReportCodec()
+        self._metrics = AgentMetrics(metrics=node.metrics, view=node.view)
+        self._balancers = MemberBalancers(membership=node.membership)
+        self._peers = MemberPeers(clock=node.clock, membership=node.membership)
+        self._pipeline = RequestPipeline(
+            node=node, settings=settings, peers=self._peers
+        )
+        self._bound = AdmissionBound(clock=node.clock, slots=settings.slots)
+        self._decisions = AgentAdmission(
+            bound=self._bound,
+            slow_start=SlowStart(clock=node.clock),
+            admission=self._pipeline.admission,
+            peers=self._peers,
+            max_connections=_MAX_CONNECTIONS,
+        )
+        self._server = self._build_server()
+
+    def run(self) -> None:
+        """Serves clients until a stop is requested."""
+        node = self._node
+        node.on_keys(self._use_keys)
+        PacketMetrics(metrics=node.metrics, counters=self._server.counters)
+        node.metrics.before_render(self._export_load)
+        node.start(
+            AgentOperations(
+                node=node,
+                server=self._server,
+                admission=self._pipeline.admission,
+                peers=self._peers,
+                start_drain=self.drain,
+            )
+        )
+        node.spawn(self._server.run)
+        node.spawn(self._pipeline.run)
+        reporter = LoadReporter(
+            server=self._server,
+            admission=self._pipeline.admission,
+            decisions=self._decisions,
+            balancers=self._balancers,
+            peers=self._peers,
+            membership=node.membership,
+        )
+        node.every(REPORT_PERIOD_MS, reporter.send)
+        node.view.subscribe(self._apply)
+        ConfigurationTask(node=node).start()
+        node.stop_requested.wait()
+        self._stop()
+
+    def drain(self, operator: str) -> None:
+        """Stops new work on the target; connections stay open."""
+        if self._pipeline.admission.draining:
+            return
+        self._node.log.event('drain_started', operator=operator)
+        self._pipeline.admission.drain()
+        self._node.membership.announce_draining()
+        self._node.spawn(self._report_empty)
+
+    def _build_server(self) -> PacketServer:
+        node = self._node
+        streams = RequestStreams(
+            clock=node.clock,
+            classifier=RequestClassifier(clock=node.clock, rules=self._rules),
+            handler=self._pipeline.handler,
+            on_ended=self._metrics.request_ended,
+        )
+        return PacketServer(
+            clock=node.clock,
+            address=self._settings.data,
+            services=frozenset(),
+            configuration=_quic_configuration(self._settings),
+            issuer=ConnectionIdIssuer(
+                codec=node.connection_id_codec(),
+                agent=self._settings.data,
+                incarnation=node.incarnation,
+            ),
+            encapsulation=node.encapsulation_codec(),
+            balancers=self._balancers,
+            admission=self._decisions,
+            handler=streams,
+            on_report=self._receive_report,
+            on_opened=self._metrics.connection_opened,
+            on_closed=self._connection_closed,
+        )
+
+    def _connection_closed(self, connection: ClientConnection) -> None:
+        self._metrics.connection_closed(connection)
+        self._node.log.event(
+            'connection_closed',
+            service=self._node.view.name_of(connection.service),
+            client=connection.client,
+            reason=connection.termination,
+        )
+
+    def _apply(self, configuration: Configuration) -> None:
+        carried = configuration.carried_at(self._settings.site)
+        served = {
+            name: service
+            for name, service in carried.items()
+            if name in self._settings.services
+        }
+        self._rules.clear()
+        self._rules.update(
+            {service.number: service for service in served.values()}
+        )
+        self._server.services = frozenset(self._rules)
+        self._node.membership.describe(
+            services=tuple(sorted(self._rules)), slots=self._settings.slots
+        )
+        for name in set(self._settings.services) - set(served):
+            self._node.log.warning(
+                'service_not_carried',
+                service=name,
+                site=self._settings.site,
+                remedy='add the site to the service or drop it here',
+            )
+
+    def _receive_report(self, wire: bytes) -> None:
+        report = self._reports.decode(wire)
+        if report is None:
+            return
+        self._peers.loads.accept(report)
+        self._bound.accept(report)
+
+    def _export_load(self) -> None:
+        self._metrics.set_load(
+            self._pipeline.admission.load, len(self._server.table)
+        )
+
+    def _use_keys(self, _: Keys) -> None:
+        self._server.use_keys(
+            self._node.connection_id_codec(),
+            self._node.encapsulation_codec(),
+        )
+
+    def _report_empty(self) -> None:
+        while len(self._server.table):
+            self._node.clock.sleep_ms(_POLL_MS)
+        self._node.log.event('drain_empty', remedy='the VM can be stopped now')
+
+    def _stop(self) -> None:
+        self.drain('stop')
+        end_ms = self._node.clock.now_ms() + self._settings.stop_deadline_ms
+        while self._open_streams() and self._node.clock.now_ms() < end_ms:
+            self._node.clock.sleep_ms(_POLL_MS)
+        interrupted = self._pipeline.admission.stop()
+        for connection in self._server.table.connections():
+            connection.close('agent stopped')
+        self._node.clock.sleep_ms(_CLOSE_MS)
+        self._node.log.event('agent_stopped', interrupted=interrupted)
+        self._node.finish()
+
+    def _open_streams(self) -> int:
+        return sum(
+            connection.open_streams
+            for connection in self._server.table.connections()
+        )
+
+
+def run(settings: AgentSettings) -> None:
+    """Runs an agent until it is stopped."""
+    Agent(settings=settings).run()
+
+
+def _quic_configuration(settings: AgentSettings) -> QuicConfiguration:
+    configuration = QuicConfiguration(
+        is_client=False,
+        alpn_protocols=H3_ALPN,
+        connection_id_length=CONNECTION_ID_SIZE,
+        idle_timeout=_IDLE_TIMEOUT_S,
+        max_data=_WINDOW,
+        max_stream_data=_WINDOW,
+    )
+    configuration.load_cert_chain(
+        settings.certificate, settings.certificate_key
+    )
+    return configuration
--- a/anvilthread/agent/connection_admission.py
+++ b/anvilthread/agent/connection_admission.py
@@ -2,17 +2,19 @@
 
 from typing import Protocol
 
+from anvilthread.routing.encapsulated import Encapsulated
+from anvilthread.routing.first_packet_action import FirstPacketAction
+
 
 class ConnectionAdmission(Protocol):
     """Decides whether an agent takes one more connection."""
 
-    def accepts(self, service: int, connections: int) -> bool:
-        """Tells whether to accept a first packet here.
+    def decide(
+        self, datagram: Encapsulated, connections: int
+    ) -> FirstPacketAction:
+        """Decides on a first packet; may name another alternate in it.
 
         Args:
-            service: Number of the service.
+            datagram: The first packet.
             connections: Open connections at this agent.
         """
-
-    def is_closed(self) -> bool:
-        """Tells whether no connection is taken at all, as while draining."""
--- a/anvilthread/agent/h3_stream.py
+++ b/anvilthread/agent/h3_stream.py
@@ -7,8 +7,8 @@
 from gevent.event import Event
 
 from anvilthread.agent.body import Body
-from anvilthread.agent.client_gone import ClientGoneError
 from anvilthread.agent.routable_quic import RoutableQuic
+from anvilthread.outcomes import ClientGoneError
 
 #: Unacknowledged bytes of one answer at which its writer waits. It bounds the
 #: memory of a stream whose client reads slowly.
--- /dev/null
+++ b/anvilthread/agent/operations.py
@@ -0,0 +1,85 @@
+"""What an agent offers to operators."""
+
+from collections.abc import Callable, Sequence
+
+import msgspec
+from result import Err, Ok, Result
+
+from anvilthread.address import Address
+from anvilthread.admission import Admission
+from anvilthread.agent.member_peers import MemberPeers
+from anvilthread.agent.packet_server import PacketServer
+from anvilthread.daemon.node import Node
+from anvilthread.daemon.target_list import target_list
+from anvilthread.operation import (
+    NodeStatus,
+    OperationRefusedError,
+    TargetStatus,
+)
+from anvilthread.routing.load_report import LoadReport
+
+
+class AgentOperations:
+    """Answers operators about an agent and its target.
+
+    Args:
+        node: The process.
+        server: Counts connections.
+        admission: Slots of the target.
+        peers: Load reports of other agents.
+        start_drain: Begins the drain.
+    """
+
+    __slots__ = ('_admission', '_node', '_peers', '_server', '_start_drain')
+
+    def __init__(
+        self,
+        *,
+        node: Node,
+        server: PacketServer,
+        admission: Admission,
+        peers: MemberPeers,
+        start_drain: Callable[[str], None],
+    ) -> None:
+        self._node = node
+        self._server = server
+        self._admission = admission
+        self._peers = peers
+        self._start_drain = start_drain
+
+    def status(self) -> NodeStatus:
+        """The status of the agent."""
+        load = self._admission.load
+        return msgspec.structs.replace(
+            self._node.status(),
+            connections=len(self._server.table),
+            busy=load.busy,
+            waiting=load.waiting,
+            slots=load.slots,
+        )
+
+    def targets(self) -> Sequence[TargetStatus]:
+        """Every target in the view."""
+        return target_list(self._node, self._report_of)
+
+    def drain(self, operator: str) -> Result[NodeStatus, OperationRefusedError]:
+        """Starts the drain of the target."""
+        self._start_drain(operator)
+        return Ok(self.status())
+
+    def undrain(
+        self, operator: str
+    ) -> Result[NodeStatus, OperationRefusedError]:
+        """Refuses; other nodes have already taken the work."""
+        return Err(
+            OperationRefusedError(
+                reason='a drain cannot be taken back',
+                remedy='restart the agent; it joins under a new incarnation',
+            )
+        )
+
+    def _report_of(self, agent: Address) -> tuple[LoadReport, int] | None:
+        load = self._peers.loads.load(agent)
+        if load.report is None:
+            return None
+        return load.report, self._node.clock.now_ms() - load.reported_ms
--- a/anvilthread/agent/packet_server.py
+++ b/anvilthread/agent/packet_server.py
@@ -17,10 +17,14 @@
 from anvilthread.agent.routable_quic import RoutableQuic
 from anvilthread.agent.stream_handler import StreamHandler
 from anvilthread.clock import Clock
-from anvilthread.routing.connection_id_codec import CONNECTION_ID_SIZE
+from anvilthread.routing.connection_id_codec import (
+    CONNECTION_ID_SIZE,
+    ConnectionIdCodec,
+)
 from anvilthread.routing.datagram_kind import DatagramKind
 from anvilthread.routing.encapsulated import Encapsulated
 from anvilthread.routing.encapsulation_codec import EncapsulationCodec
+from anvilthread.routing.first_packet_action import FirstPacketAction
 from anvilthread.routing.packet_counters import PacketCounters
 from anvilthread.routing.packet_fate import PacketFate
 from anvilthread.routing.quic_header import (
@@ -35,10 +39,6 @@
 #: first packets cannot exhaust the memory of a small VM.
 _MAX_HALF_OPEN: Final = 4096
 
-#: A first packet is passed on once at most, so that two agents over their
-#: bound cannot send it back and forth.
-_MAX_HOPS: Final = 1
-
 SendAnswer = Callable[[ClientConnection, bytes, Address], None]
 
 
@@ -55,6 +55,7 @@
         balancers: The balancers believed to be alive.
         admission: Decides about first packets.
         handler: Answers requests.
+        on_report: Called with the load reports that other agents send.
         on_opened: Called when a connection begins.
         on_closed: Called when a connection has ended.
     """
@@ -70,10 +71,11 @@
         '_issuer',
         '_on_closed',
         '_on_opened',
-        '_services',
+        '_on_report',
         '_socket',
         '_table',
         'address',
+        'services',
     )
 
     def __init__(
@@ -88,18 +90,20 @@
         balancers: Balancers,
         admission: ConnectionAdmission,
         handler: StreamHandler,
+        on_report: Callable[[bytes], None] = lambda _: None,
         on_opened: Callable[[ClientConnection], None] = lambda _: None,
         on_closed: Callable[[ClientConnection], None] = lambda _: None,
     ) -> None:
         self.address = address
         self._clock = clock
-        self._services = services
+        self.services = services
         self._configuration = configuration
         self._issuer = issuer
         self._encapsulation = encapsulation
         self._balancers = balancers
         self._admission = admission
         self._handler = handler
+        self._on_report = on_report
         self._on_opened = on_opened
         self._on_closed = on_closed
         self._table = ConnectionTable()
@@ -116,6 +120,13 @@
         """What happened to the packets."""
         return self._counters
 
+    def use_keys(
+        self, codec: ConnectionIdCodec, encapsulation: EncapsulationCodec
+    ) -> None:
+        """Replaces the codecs after a key rotation."""
+        self._issuer.codec = codec
+        self._encapsulation = encapsulation
+
     @property
     def issuer(self) -> ConnectionIdIssuer:
         """Maker of connection IDs."""
@@ -129,7 +140,7 @@
         """Closes the socket."""
         self._socket.close()
 
-    def send_to_balancer(
+    def send(
         self,
         datagram: Encapsulated,
         receiver: Address,
@@ -147,7 +158,10 @@
         if datagram is None:
             self._counters.add(PacketFate.DROPPED_FORGED)
             return
-        if datagram.service not in self._services:
+        if datagram.kind is DatagramKind.REPORT:
+            self._on_report(datagram.payload)
+            return
+        if datagram.service not in self.services:
             self._counters.add(PacketFate.DROPPED_WRONG_SERVICE)
             return
         connection_id = destination_id(datagram.payload)
@@ -177,24 +191,21 @@
             if self._issuer.codec.decrypt(connection_id) is not None:
                 self._reset(datagram, connection_id)
                 return
-        if not is_initial(datagram.payload):
-            self._counters.add(PacketFate.DROPPED_NOT_INITIAL)
-        elif self._admission.accepts(datagram.service, len(self._table)):
-            self._open(datagram, connection_id)
+        if is_initial(datagram.payload):
+            self._admit(datagram, connection_id)
         else:
-            self._pass_on(datagram, connection_id)
+            self._counters.add(PacketFate.DROPPED_NOT_INITIAL)
 
-    def _pass_on(self, datagram: Encapsulated, connection_id: bytes) -> None:
-        alternate = datagram.alternate
-        if datagram.hops >= _MAX_HOPS or alternate in {None, self.address}:
-            if self._admission.is_closed():
-                self._counters.add(PacketFate.DROPPED_NO_AGENT)
-            else:
+    def _admit(self, datagram: Encapsulated, connection_id: bytes) -> None:
+        match self._admission.decide(datagram, len(self._table)):
+            case FirstPacketAction.ACCEPT:
                 self._open(datagram, connection_id)
-            return
-        datagram.hops += 1
-        self._counters.add(PacketFate.PASSED_ON)
-        self.send_to_balancer(datagram, alternate)
+            case FirstPacketAction.PASS_ON if datagram.alternate is not None:
+                datagram.hops += 1
+                self._counters.add(PacketFate.PASSED_ON)
+                self.send(datagram, datagram.alternate)
+            case _:
+                self._counters.add(PacketFate.DROPPED_NO_AGENT)
 
     def _open(self, datagram: Encapsulated, chosen_id: bytes) -> None:
         if self._table.half_open >= _MAX_HALF_OPEN:
@@ -235,7 +246,7 @@
         self, connection: ClientConnection, payload: bytes, balancer: Address
     ) -> None:
         self._counters.add(PacketFate.ANSWERED)
-        self.send_to_balancer(
+        self.send(
             Encapsulated(
                 kind=DatagramKind.ANSWER,
                 service=connection.service,
@@ -262,4 +273,4 @@
         self._counters.add(PacketFate.RESET)
         datagram.kind = DatagramKind.ANSWER
         datagram.payload = payload
-        self.send_to_balancer(datagram, datagram.balancer)
+        self.send(datagram, datagram.balancer)
--- /dev/null
+++ b/anvilthread/agent/request_pipeline.py
@@ -0,0 +1,102 @@
+"""The parts that decide about requests, wired for one agent."""
+
+from anvilthread.admission import Admission, Dispatcher, Limits
+from anvilthread.agent.member_peers import MemberPeers
+from anvilthread.daemon.node import Node
+from anvilthread.outcomes import RequestHandler
+from anvilthread.outcomes.agent_identity import AgentIdentity
+from anvilthread.outcomes.execution_table import ExecutionTable
+from anvilthread.outcomes.handover import (
+    HandoverClient,
+    HandoverServer,
+    HandoverSettings,
+)
+from anvilthread.outcomes.handover import Node as HandoverNode
+from anvilthread.outcomes.key_endpoint import KeyEndpoint
+from anvilthread.outcomes.key_issuer import KeyIssuer
+from anvilthread.outcomes.key_sealer import KeySealer
+from anvilthread.outcomes.keyed_runner import KeyedRunner
+from anvilthread.settings import AgentSettings
+from anvilthread.target import HttpEdge
+from anvilthread.transport import ChannelName
+
+
+class RequestPipeline:
+    """Admission, execution keys, handover and the target's edge.
+
+    Args:
+        node: The process.
+        settings: Settings of the agent.
+        peers: Other agents of the services.
+    """
+
+    __slots__ = ('_handover', '_server', 'admission', 'handler')
+
+    def __init__(
+        self, *, node: Node, settings: AgentSettings, peers: MemberPeers
+    ) -> None:
+        limits = Limits(
+            slots=settings.slots,
+            queue=settings.queue_length,
+            stop_ms=settings.stop_deadline_ms,
+        )
+        identity = AgentIdentity(
+            address=settings.request, incarnation=node.incarnation
+        )
+        handover = HandoverSettings()
+        self.admission = Admission(clock=node.clock, limits=limits)
+        self._handover = HandoverNode(
+            clock=node.clock,
+            transport=node.channels.channel(ChannelName.HANDOVER),
+            identity=identity,
+            channels=handover.channels,
+        )
+        client = HandoverClient(
+            clock=node.clock,
+            random=node.random,
+            node=self._handover,
+            peers=peers,
+            settings=handover,
+        )
+        dispatcher = Dispatcher(
+            clock=node.clock,
+            admission=self.admission,
+            edge=HttpEdge(clock=node.clock, target=settings.target),
+            source=client,
+        )
+        sealer = KeySealer(
+            keys=node.keys.execution.keys, active=node.keys.execution.active
+        )
+        keyed = KeyedRunner(
+            clock=node.clock,
+            identity=identity,
+            sealer=sealer,
+            table=ExecutionTable(
+                clock=node.clock,
+                max_bytes=settings.kept_answer_bytes,
+                retention_ms=settings.kept_answer_ms,
+            ),
+            runner=dispatcher,
+            owners=client,
+        )
+        self._server = HandoverServer(
+            clock=node.clock,
+            identity=identity,
+            settings=handover,
+            admission=self.admission,
+            dispatcher=dispatcher,
+            owner=keyed,
+        )
+        issuer = KeyIssuer(
+            clock=node.clock,
+            identity=identity,
+            sealer=sealer,
+            lifetime_ms=settings.kept_answer_ms,
+        )
+        self.handler = RequestHandler(
+            runner=KeyEndpoint(issuer=issuer, runner=keyed)
+        )
+
+    def run(self) -> None:
+        """Serves handovers of other agents until the process ends."""
+        self._handover.serve(self._server.serve)
--- /dev/null
+++ b/anvilthread/balancer/balancer.py
@@ -0,0 +1,114 @@
+"""The balancer daemon."""
+
+from typing import Final
+
+from anvilthread.address import Address
+from anvilthread.balancer.forwarder import Forwarder
+from anvilthread.balancer.listeners import Listeners
+from anvilthread.balancer.lost_agents import LostAgents
+from anvilthread.balancer.member_candidates import MemberCandidates
+from anvilthread.balancer.operations import BalancerOperations
+from anvilthread.balancer.synchronised_placer import SynchronisedPlacer
+from anvilthread.daemon.configuration_task import ConfigurationTask
+from anvilthread.daemon.node import Node
+from anvilthread.daemon.packet_metrics import PacketMetrics
+from anvilthread.membership import Role
+from anvilthread.routing.load_aware_placement import LoadAwarePlacement
+from anvilthread.routing.load_report_codec import LoadReportCodec
+from anvilthread.routing.load_table import LoadTable
+from anvilthread.routing.subset import Subset
+from anvilthread.settings import BalancerSettings, Keys
+
+#: Time for which a stopping balancer forwards what the fabric still sends.
+_WITHDRAWAL_MS: Final = 2000
+
+
+class Balancer:
+    """Wires forwarder, placement, membership and configuration.
+
+    Args:
+        settings: Settings of the process.
+
+    Raises:
+        AnvilthreadError: If a key file or local configuration is unusable.
+        OSError: If an address cannot be bound.
+    """
+
+    __slots__ = (
+        '_configuration',
+        '_forwarder',
+        '_loads',
+        '_node',
+        '_reports',
+        '_settings',
+    )
+
+    def __init__(self, *, settings: BalancerSettings) -> None:
+        self._settings = settings
+        self._node = Node(settings=settings, role=Role.BALANCER)
+        self._reports = LoadReportCodec()
+        self._loads = LoadTable(clock=self._node.clock)
+        self._forwarder = self._build_forwarder(settings.data)
+        self._configuration = ConfigurationTask(node=self._node)
+
+    def run(self) -> None:
+        """Forwards packets until a stop is requested."""
+        node = self._node
+        listen_ip = self._settings.listen_ip
+        listeners = Listeners(
+            node=node,
+            forwarder=self._forwarder,
+            listen_ip=None if listen_ip is None else str(listen_ip),
+        )
+        node.on_keys(self._use_keys)
+        PacketMetrics(metrics=node.metrics, counters=self._forwarder.counters)
+        node.start(BalancerOperations(node=node, loads=self._loads))
+        node.spawn(self._forwarder.run_answers)
+        node.view.subscribe(listeners.apply)
+        self._configuration.start()
+        node.stop_requested.wait()
+        self._stop()
+
+    def _build_forwarder(self, address: Address) -> Forwarder:
+        node = self._node
+        placement = LoadAwarePlacement(
+            clock=node.clock,
+            table=self._loads,
+            subset=Subset(balancer=address),
+        )
+        MemberCandidates(table=node.membership.table, placement=placement)
+        return Forwarder(
+            address=address,
+            codec=node.connection_id_codec(),
+            encapsulation=node.encapsulation_codec(),
+            placer=SynchronisedPlacer(
+                membership=node.membership, placement=placement
+            ),
+            agents=LostAgents(membership=node.membership),
+            on_report=self._receive_report,
+        )
+
+    def _receive_report(self, wire: bytes) -> None:
+        report = self._reports.decode(wire)
+        if report is not None:
+            self._loads.accept(report)
+
+    def _use_keys(self, _: Keys) -> None:
+        self._forwarder.use_keys(
+            self._node.connection_id_codec(),
+            self._node.encapsulation_codec(),
+        )
+
+    def _stop(self) -> None:
+        self._node.log.event('withdrawal_started', wait_ms=_WITHDRAWAL_MS)
+        self._node.membership.announce_draining()
+        self._node.clock.sleep_ms(_WITHDRAWAL_MS)
+        self._node.finish()
+
+
+def run(settings: BalancerSettings) -> None:
+    """Runs a balancer until it is stopped."""
+    Balancer(settings=settings).run()
+
+
+__all__ = ('Balancer', 'run')
--- a/anvilthread/balancer/forwarder.py
+++ b/anvilthread/balancer/forwarder.py
@@ -28,7 +28,6 @@
 from anvilthread.transport.udp_socket import bind_udp, receive_all
 
 _ADDRESS: Final = slice(2, 8)
-_INCARNATION: Final = slice(8, 11)
 _FORWARD: Final = int(DatagramKind.FORWARD)
 
 
@@ -139,7 +138,7 @@
             self._place(listener, payload, sender, connection_id)
         elif block[:2] != listener.packed_service:
             self._counters.add(PacketFate.DROPPED_WRONG_SERVICE)
-        elif self._agents.must_reset(block[_ADDRESS], block[_INCARNATION]):
+        elif self._agents.must_reset(block[_ADDRESS]):
             self._reset(listener, payload, sender, connection_id)
         else:
             self._send(
--- a/anvilthread/commands/connections.py
+++ b/anvilthread/commands/connections.py
@@ -22,12 +22,12 @@
 
 def run_balancer(settings: BalancerSettings) -> None:
     """Runs a balancer until it is stopped."""
-    _load('anvilthread.balancer', 'run')(settings)
+    _load('anvilthread.balancer.balancer', 'run')(settings)
 
 
 def run_agent(settings: AgentSettings) -> None:
     """Runs an agent until it is stopped."""
-    _load('anvilthread.agent', 'run')(settings)
+    _load('anvilthread.agent.agent', 'run')(settings)
 
 
 def open_configuration(store: str) -> ConfigurationGateway:
--- /dev/null
+++ b/anvilthread/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""What the two daemons share."""
--- a/anvilthread/membership/member_table.py
+++ b/anvilthread/membership/member_table.py
@@ -1,6 +1,6 @@
 """The view of the members that one node holds."""
 
-from collections.abc import Callable
+from collections.abc import Iterator, Callable
 
 from anvilthread.address import Address
 from anvilthread.membership.digest import Digest
@@ -32,6 +32,9 @@
     def __len__(self) -> int:
         return len(self._members)
 
+    def __iter__(self) -> Iterator[Member]:
+        return iter(list(self._members.values()))
+
     @property
     def digest(self) -> Digest:
         """Digests of the members that are neither dead nor gone."""
--- a/anvilthread/outcomes/outcome.py
+++ b/anvilthread/outcomes/outcome.py
@@ -24,6 +24,7 @@
 _CLIENT_ERRORS: Final = {
     Reason.BODY_TOO_LARGE: 413,
     Reason.DEADLINE_MALFORMED: 400,
+    Reason.REQUEST_MALFORMED: 400,
     Reason.KEY_EXPIRED: 422,
     Reason.KEY_NOT_ISSUED: 422,
     Reason.KEY_OTHER_REQUEST: 422,
--- a/anvilthread/outcomes/reason.py
+++ b/anvilthread/outcomes/reason.py
@@ -22,6 +22,7 @@
     OVERLOADED = 'overloaded'
     OWNER_GONE = 'owner-gone'
     PEER_UNREACHABLE = 'peer-unreachable'
+    REQUEST_MALFORMED = 'request-malformed'
     RESERVATION_EXPIRED = 'reservation-expired'
     STOPPED = 'stopped'
     TARGET_REFUSED = 'target-refused'
--- a/anvilthread/outcomes/request_classifier.py
+++ b/anvilthread/outcomes/request_classifier.py
@@ -1,6 +1,6 @@
 """How a request is to be treated."""
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 from gevent.event import Event
@@ -16,6 +16,9 @@
 #: Remaining time to the deadline, in whole milliseconds.
 DEADLINE_HEADER: Final = 'anvilthread-deadline-ms'
 
+#: Longest time to answer that a client may state.
+MAX_DEADLINE_MS: Final = 300_000
+
 _KEY_HEADER: Final = 'idempotency-key'
 _EVENT_STREAM: Final = 'text/event-stream'
 
@@ -74,7 +77,9 @@
                 service=service,
                 deadline_ms=self._clock.now_ms() + allowed_ms,
                 cancelled=cancelled,
-                idempotent=_is_idempotent(method.upper(), path, rules),
+                idempotent=rules.is_idempotent(
+                    method.upper(), _without_query(path)
+                ),
                 stream=_is_stream(path, named, rules),
                 execution_key=named.get(_KEY_HEADER),
             )
@@ -83,27 +88,21 @@
 
 def _allowed_ms(text: str | None, rules: ServiceRules) -> int | None:
     if text is None:
-        return rules.default_deadline_ms
+        return rules.deadline_ms
     if not (text.isascii() and text.isdecimal()):
         return None
-    return min(int(text), rules.max_deadline_ms)
-
-
-def _is_idempotent(method: str, path: str, rules: ServiceRules) -> bool:
-    if method in rules.non_idempotent_methods:
-        return False
-    return not _has_prefix(path, rules.non_idempotent_paths)
+    return min(int(text), MAX_DEADLINE_MS)
 
 
 def _is_stream(
     path: str, named: Mapping[str, str], rules: ServiceRules
 ) -> bool:
     accepts_events = _EVENT_STREAM in named.get('accept', '').lower()
-    return accepts_events or _has_prefix(path, rules.stream_paths)
+    return accepts_events or not rules.takes_slot(_without_query(path))
 
 
-def _has_prefix(path: str, prefixes: Iterable[str]) -> bool:
-    return path.startswith(tuple(prefixes))
+def _without_query(path: str) -> str:
+    return path.partition('?')[0]
 
 
 def _malformed_deadline() -> Outcome:
--- a/anvilthread/outcomes/service_rules.py
+++ b/anvilthread/outcomes/service_rules.py
@@ -1,28 +1,17 @@
 """What the configuration says about the requests of a service."""
 
-from collections.abc import Collection
 from typing import Protocol
 
 
 class ServiceRules(Protocol):
     """Settings of one service that decide how its requests are treated."""
 
-    @property
-    def non_idempotent_methods(self) -> Collection[str]:
-        """Methods that must not run twice, in capitals."""
-
-    @property
-    def non_idempotent_paths(self) -> Collection[str]:
-        """Path prefixes whose requests must not run twice by any method."""
+    def is_idempotent(self, method: str, path: str) -> bool:
+        """Tells whether a request may run more than once."""
 
-    @property
-    def stream_paths(self) -> Collection[str]:
-        """Path prefixes whose answers may last without limit."""
+    def takes_slot(self, path: str) -> bool:
+        """Tells whether a request is no long stream."""
 
     @property
-    def default_deadline_ms(self) -> int:
+    def deadline_ms(self) -> int:
         """Time to answer when the client states none."""
-
-    @property
-    def max_deadline_ms(self) -> int:
-        """Longest time to answer that a client may state."""
--- /dev/null
+++ b/demo/cluster.py
@@ -0,0 +1,310 @@
+"""One firm's cluster of processes."""
+
+import json
+import socket
+import time
+from pathlib import Path
+from typing import Final
+from urllib.request import Request, urlopen
+
+from anvilthread.address import Address
+from demo.firm import Firm, Service
+from demo.processes import Processes
+
+_CONTROL: Final = 7946
+_REQUEST: Final = 7947
+_DATA: Final = 7001
+_METRICS: Final = 9100
+_TARGET: Final = 8080
+_STORE: Final = 8500
+_FABRIC_CONTROL: Final = 7900
+_POLL_S: Final = 0.1
+
+
+class Cluster:
+    """Starts, changes and ends the processes of one firm.
+
+    Args:
+        firm: The firm.
+        directory: Where settings, ledgers and logs go.
+    """
+
+    def __init__(self, *, firm: Firm, directory: Path) -> None:
+        self.firm = firm
+        self._directory = directory
+        self._balancers: list[int] = []
+        self._targets: dict[int, tuple[Service, ...]] = {}
+        self._drained: set[int] = set()
+        self.processes = Processes(directory=directory)
+        directory.mkdir(parents=True, exist_ok=True)
+
+    @property
+    def keys(self) -> Path:
+        """The key file."""
+        return self._directory / 'keys.toml'
+
+    def start(self) -> None:
+        """Starts store, fabric, three balancers and all targets."""
+        self._write_shared_files()
+        self.processes.start(
+            'store', 'standins.store', '--listen', self._store_address
+        )
+        for number in (1, 2, 3):
+            self.add_balancer(number, announce=False)
+        listen = [
+            part
+            for service in self.firm.services
+            for part in ('--listen', str(self.service_address(service)))
+        ]
+        self.processes.start(
+            'fabric',
+            'standins.fabric',
+            *listen,
+            *(
+                part
+                for number in (1, 2, 3)
+                for part in ('--balancer', self.firm.ip(1, number))
+            ),
+            '--control',
+            f'{self.firm.ip(9, 1)}:{_FABRIC_CONTROL}',
+        )
+        number = 1
+        for services, count in self.firm.pools:
+            for _ in range(count):
+                self.add_target(number, services)
+                number += 1
+
+    def add_balancer(self, number: int, *, announce: bool = True) -> None:
+        """Starts a balancer and, if wanted, tells the fabric of it."""
+        ip = self.firm.ip(1, number)
+        settings = {
+            **self._node_settings(f'balancer-{number}', ip, number),
+            'listen_ip': ip,
+        }
+        self._run('balancer', f'balancer-{number}', settings)
+        self._balancers.append(number)
+        if announce:
+            self.wait_ready(1, number)
+            self.update_fabric()
+
+    def kill_balancer(self, number: int) -> None:
+        """Kills a balancer; the fabric goes on sending to it."""
+        self.processes.kill(f'balancer-{number}')
+        self._balancers.remove(number)
+
+    def withdraw_balancer(self, number: int) -> None:
+        """Takes a balancer out of the fabric and stops it."""
+        self._balancers.remove(number)
+        self.update_fabric()
+        self.processes.stop(f'balancer-{number}')
+
+    def update_fabric(self, **changes: object) -> None:
+        """Tells the fabric which balancers there are, and its faults."""
+        changes['balancers'] = [
+            self.firm.ip(1, number) for number in self._balancers
+        ]
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            sender.sendto(
+                json.dumps(changes).encode(),
+                (self.firm.ip(9, 1), _FABRIC_CONTROL),
+            )
+
+    def add_target(self, number: int, services: tuple[Service, ...]) -> None:
+        """Starts a target and the agent beside it."""
+        self._targets[number] = services
+        target = f'{self.firm.ip(3, number)}:{_TARGET}'
+        self.processes.start(
+            f'target-{number}',
+            'standins.target',
+            '--listen',
+            target,
+            '--slots',
+            str(self.firm.slots),
+            '--ledger',
+            str(self.ledger(number)),
+        )
+        settings = {
+            **self._node_settings(
+                f'agent-{number}', self.firm.ip(2, number), number
+            ),
+            'services': [service.name for service in services],
+            'target': target,
+            'slots': self.firm.slots,
+            'certificate': str(self._directory / 'certificate.pem'),
+            'certificate_key': str(self._directory / 'certificate-key.pem'),
+            'stop_deadline_ms': 2000,
+        }
+        self._run('agent', f'agent-{number}', settings)
+
+    def drain_target(self, number: int) -> None:
+        """Drains a target through the command line."""
+        self._drained.add(number)
+        self.processes.call(
+            'anvilthread',
+            'target',
+            'drain',
+            f'{self.firm.ip(2, number)}:{_REQUEST}',
+            '--keys',
+            str(self.keys),
+        )
+
+    def kill_target(self, number: int) -> None:
+        """Kills a target and its agent, as the loss of their VM does."""
+        self.processes.kill(f'agent-{number}')
+        self.processes.kill(f'target-{number}')
+
+    def set_store(self, **faults: object) -> None:
+        """Switches faults of the store."""
+        request = Request(
+            f'http://{self._store_address}/control/faults',
+            data=json.dumps(faults).encode(),
+            method='PUT',
+        )
+        urlopen(request, timeout=5).close()
+
+    def apply(self) -> None:
+        """Applies the configuration of the firm to the store."""
+        self.processes.call(
+            'anvilthread',
+            'config',
+            'apply',
+            str(self._directory / 'configuration'),
+            '--store',
+            f'http://{self._store_address}',
+            '--operator',
+            'demo',
+        )
+
+    def connections(self) -> dict[int, int]:
+        """Open connections of every target by the agents' metrics."""
+        return {
+            number: int(self._metric(2, number, 'anvilthread_connections'))
+            for number in self._target_numbers()
+        }
+
+    def wait_ready(self, kind: int, number: int) -> None:
+        """Waits until a node is ready for traffic.
+
+        Raises:
+            TimeoutError: If that takes more than 30 s.
+        """
+        url = f'http://{self.firm.ip(kind, number)}:{_METRICS}/ready'
+        for _ in range(300):
+            try:
+                urlopen(url, timeout=1).close()
+            except OSError:
+                pause()
+            else:
+                return
+        raise TimeoutError(url)
+
+    def wait_all_ready(self) -> None:
+        """Waits until every node is ready."""
+        for number in self._balancers:
+            self.wait_ready(1, number)
+        for number in self._target_numbers():
+            self.wait_ready(2, number)
+
+    def ledger(self, number: int) -> Path:
+        """Ledger of a target."""
+        return self._directory / f'ledger-{number}.jsonl'
+
+    def ledgers(self) -> list[tuple[Path, frozenset[str]]]:
+        """Ledger of every target with the names of its services."""
+        found = []
+        for number, services in self._targets.items():
+            names = frozenset(service.name for service in services)
+            found.append((self.ledger(number), names))
+        return found
+
+    def pool_targets(self) -> list[list[int]]:
+        """Numbers of the targets that take work, by pool."""
+        return [
+            [
+                number
+                for number, services in self._targets.items()
+                if services == pool and number not in self._drained
+            ]
+            for pool, _ in self.firm.pools
+        ]
+
+    def service_address(self, service: Service) -> Address:
+        """Address at which clients reach a service."""
+        return Address(host=self.firm.ip(9, 1), port=service.port)
+
+    def _target_numbers(self) -> list[int]:
+        names = self.processes.names()
+        return sorted(
+            int(name.removeprefix('agent-'))
+            for name in names
+            if name.startswith('agent-')
+        )
+
+    def _metric(self, kind: int, number: int, name: str) -> float:
+        url = f'http://{self.firm.ip(kind, number)}:{_METRICS}/metrics'
+        with urlopen(url, timeout=5) as answer:
+            for line in answer.read().decode().splitlines():
+                if line.startswith((f'{name} ', f'{name}{{')):
+                    return float(line.rpartition(' ')[2])
+        return 0
+
+    @property
+    def _store_address(self) -> str:
+        return f'{self.firm.ip(8, 1)}:{_STORE}'
+
+    def _node_settings(
+        self, name: str, ip: str, number: int
+    ) -> dict[str, object]:
+        sites = self.firm.sites
+        return {
+            'name': name,
+            'site': sites[(number - 1) % len(sites)],
+            'control': f'{ip}:{_CONTROL}',
+            'data': f'{ip}:{_DATA}',
+            'request': f'{ip}:{_REQUEST}',
+            'metrics': f'{ip}:{_METRICS}',
+            'seeds': [
+                f'{self.firm.ip(kind, seed)}:{_CONTROL}'
+                for kind, seed in ((1, 1), (1, 2), (1, 3), (2, 1))
+            ],
+            'keys': str(self.keys),
+            'store': f'http://{self._store_address}',
+            'configuration': str(self._directory / 'configuration'),
+        }
+
+    def _run(
+        self, command: str, name: str, settings: dict[str, object]
+    ) -> None:
+        path = self._directory / f'{name}.toml'
+        # JSON strings, numbers and flat lists are valid TOML values.
+        path.write_text(
+            ''.join(
+                f'{key} = {json.dumps(content)}\n'
+                for key, content in settings.items()
+            )
+        )
+        self.processes.start(
+            name, 'anvilthread', command, '--settings', str(path)
+        )
+
+    def _write_shared_files(self) -> None:
+        configuration = self._directory / 'configuration'
+        configuration.mkdir(exist_ok=True)
+        (configuration / 'base.toml').write_text(self.firm.configuration())
+        self.processes.call(
+            'anvilthread',
+            'key',
+            'new',
+            str(self.keys),
+            '--certificate',
+            str(self._directory / 'certificate.pem'),
+            '--certificate-key',
+            str(self._directory / 'certificate-key.pem'),
+            '--host',
+            'anvilthread.test',
+        )
+
+
+def pause() -> None:
+    """Waits between two looks at a process that is starting."""
+    time.sleep(_POLL_S)
--- /dev/null
+++ b/demo/verdict.py
@@ -0,0 +1,102 @@
+"""What a run of the demonstration proved."""
+
+import json
+from collections import Counter
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Final
+
+import msgspec
+
+#: Largest over mean of connections between targets that the brief allows.
+MAX_IMBALANCE: Final = 1.05
+
+
+class Verdict(msgspec.Struct, kw_only=True):
+    """Counts of one run; see docs/design.md for the guarantees.
+
+    Args:
+        connections: Connections that clients opened.
+        broken: Connections that ended without the client's wish.
+        requests: Requests that clients sent.
+        answered: Requests with the target's answer.
+        not_run: Requests reported as not run.
+        unknown: Requests reported as unknown or without a report.
+        run_twice: Request IDs that targets started more than once.
+        misrouted: Request IDs in the ledger of another service's target, and
+            answers that belong to another request.
+        not_run_but_run: Requests reported as not run that a target started.
+        imbalance: Largest over mean of connections at the targets of a pool.
+    """
+
+    connections: int = 0
+    broken: int = 0
+    requests: int = 0
+    answered: int = 0
+    not_run: int = 0
+    unknown: int = 0
+    run_twice: int = 0
+    misrouted: int = 0
+    not_run_but_run: int = 0
+    imbalance: float = 1.0
+
+    @property
+    def holds(self) -> bool:
+        """Whether every guarantee was kept."""
+        violations = (
+            self.broken,
+            self.run_twice,
+            self.misrouted,
+            self.not_run_but_run,
+        )
+        return not any(violations) and self.answered > 0
+
+    def add_clients(self, results: Path) -> dict[str, str]:
+        """Adds what clients saw; returns their outcomes by request ID."""
+        seen = json.loads(results.read_text())
+        counts = Counter(seen['counts'])
+        self.connections += counts['connections']
+        self.broken += counts['broken']
+        self.requests += counts['requests']
+        self.answered += counts['answered']
+        self.not_run += counts['not-run']
+        self.unknown += counts['unknown']
+        self.misrouted += counts['mixed_up']
+        outcomes: dict[str, str] = seen['outcomes']
+        return outcomes
+
+    def add_ledgers(
+        self,
+        ledgers: Iterable[tuple[Path, frozenset[str]]],
+        outcomes: dict[str, str],
+    ) -> None:
+        """Adds what targets ran.
+
+        Args:
+            ledgers: Ledger files with the services of their targets.
+            outcomes: Outcome by request ID.
+        """
+        starts: Counter[str] = Counter()
+        for path, services in ledgers:
+            for identifier in _started(path):
+                starts[identifier] += 1
+                if identifier.rpartition('-')[0] not in services:
+                    self.misrouted += 1
+        self.run_twice += sum(count > 1 for count in starts.values())
+        self.not_run_but_run += sum(
+            outcome == 'not-run' and identifier in starts
+            for identifier, outcome in outcomes.items()
+        )
+
+    def line(self) -> str:
+        """Returns the result as one line of key=value pairs."""
+        pairs = msgspec.structs.asdict(self)
+        pairs['imbalance'] = f'{self.imbalance:.3f}'
+        return ' '.join(f'{key}={content}' for key, content in pairs.items())
+
+
+def _started(path: Path) -> list[str]:
+    if not path.exists():
+        return []
+    entries = [json.loads(line) for line in path.read_text().splitlines()]
+    return [entry['id'] for entry in entries if entry['outcome'] == 'started']
--- /dev/null
+++ b/standins/load.py
@@ -0,0 +1,198 @@
+"""A process of many clients that checks every answer."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import hashlib
+import json
+from collections import Counter
+from pathlib import Path
+from random import Random
+from typing import Annotated
+
+import gevent
+import typer
+
+from anvilthread.address import Address
+from anvilthread.clock import SystemClock
+from standins.client import Client
+from standins.picture import picture
+from standins.response import Response
+
+_KEY_PATH = '/.well-known/anvilthread/execution-key'
+_PICTURE_BYTES = 1_000_000
+
+
+class Load:
+    """Streams and requests of the clients of one service.
+
+    Args:
+        service: Name of the service, which starts every request ID.
+        address: Service address.
+        random: Source of pauses.
+        counts: Results, shared by the services of a process.
+        outcomes: Outcome by request ID, shared likewise.
+    """
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        address: Address,
+        random: Random,
+        counts: Counter[str],
+        outcomes: dict[str, str],
+    ) -> None:
+        self._clock = SystemClock()
+        self._service = service
+        self._address = address
+        self._random = random
+        self._counts = counts
+        self._outcomes = outcomes
+        self._number = 0
+        self._running = True
+        self.reasons: Counter[str] = Counter()
+
+    def stop(self) -> None:
+        """Lets every client end after its present request."""
+        self._running = False
+
+    def hold_stream(self) -> None:
+        """Keeps one stream open and counts it if it breaks."""
+        client = self._connect()
+        if client is None:
+            return
+        response = client.request(
+            'GET',
+            '/stream?ms=500',
+            headers=[('accept', 'text/event-stream')],
+            keep=False,
+        )
+        while self._running and not response.ended.is_set():
+            gevent.sleep(0.1)
+        if response.ended.is_set():
+            self._broken(response.failure or f'status {response.status}')
+        client.close()
+
+    def send_requests(self) -> None:
+        """Sends one request after the other on one connection."""
+        client = self._connect()
+        while self._running and client is not None:
+            self._send_one(client)
+            gevent.sleep(self._random.uniform(0.1, 0.4))
+            if client.end_reason is not None:
+                self._broken(client.end_reason)
+                client = self._connect()
+        if client is not None:
+            client.close()
+
+    def _connect(self) -> Client | None:
+        client = Client(clock=self._clock, service_address=self._address)
+        self._counts['connections'] += 1
+        if client.connect():
+            return client
+        self._broken('no handshake')
+        return None
+
+    def _send_one(self, client: Client) -> None:
+        choice = self._random.random()
+        if choice < 0.1:
+            self._fetch_picture(client)
+            return
+        self._number += 1
+        identifier = f'{self._service}-{self._number}'
+        headers = []
+        if choice < 0.5:
+            headers = self._execution_key(client)
+        response = self._run(client, identifier, headers)
+        if headers and response.outcome != 'answered':
+            # The same key may be repeated, whatever the first outcome was.
+            gevent.sleep(0.2)
+            response = self._run(client, identifier, headers)
+        self._record(identifier, response)
+
+    def _run(
+        self, client: Client, identifier: str, headers: list[tuple[str, str]]
+    ) -> Response:
+        return client.fetch(
+            'POST', f'/run?id={identifier}', headers=headers, body=b'order'
+        )
+
+    def _execution_key(self, client: Client) -> list[tuple[str, str]]:
+        response = client.fetch('GET', _KEY_PATH)
+        if response.status != 200:
+            return []
+        return [('idempotency-key', json.loads(response.body)['key'])]
+
+    def _record(self, identifier: str, response: Response) -> None:
+        self._counts['requests'] += 1
+        outcome = response.outcome or 'unknown'
+        if outcome == 'answered' and response.failure is not None:
+            outcome = 'unknown'
+        self._counts[outcome] += 1
+        self._outcomes[identifier] = outcome
+        answered = outcome == 'answered'
+        if answered and identifier not in response.body.decode():
+            self._counts['mixed_up'] += 1
+
+    def _fetch_picture(self, client: Client) -> None:
+        seed = self._random.randrange(1000)
+        response = client.fetch(
+            'GET', f'/picture?bytes={_PICTURE_BYTES}&seed={seed}'
+        )
+        self._counts['requests'] += 1
+        outcome = response.outcome or 'unknown'
+        self._counts[outcome] += 1
+        expected = hashlib.sha256()
+        for block in picture(_PICTURE_BYTES, seed):
+            expected.update(block)
+        whole = response.failure is None
+        if outcome == 'answered' and whole:
+            if response.digest != expected.hexdigest():
+                self._counts['mixed_up'] += 1
+
+    def _broken(self, reason: str) -> None:
+        self._counts['broken'] += 1
+        self.reasons[reason] += 1
+
+
+def main(
+    service: Annotated[list[str], typer.Option(help='NAME=HOST:PORT')],
+    streams: Annotated[int, typer.Option(help='Streams a service.')],
+    clients: Annotated[int, typer.Option(help='Requesters a service.')],
+    seconds: Annotated[float, typer.Option(help='Time of the load.')],
+    out: Annotated[Path, typer.Option(help='JSON file of the results.')],
+    seed: Annotated[int, typer.Option(help='Seed of the pauses.')] = 1,
+) -> None:
+    """Runs clients for a while and writes what they saw."""
+    counts: Counter[str] = Counter()
+    outcomes: dict[str, str] = {}
+    loads = []
+    tasks: list[gevent.Greenlet] = []
+    for index, text in enumerate(service):
+        name, _, address = text.partition('=')
+        load = Load(
+            service=name,
+            address=Address.parse(address).unwrap(),
+            random=Random(seed + index),
+            counts=counts,
+            outcomes=outcomes,
+        )
+        loads.append(load)
+        tasks.extend(gevent.spawn(load.hold_stream) for _ in range(streams))
+        tasks.extend(gevent.spawn(load.send_requests) for _ in range(clients))
+    gevent.sleep(seconds)
+    for load in loads:
+        load.stop()
+    gevent.joinall(tasks, timeout=30)
+    reasons: Counter[str] = Counter()
+    for load in loads:
+        reasons.update(load.reasons)
+    out.write_text(
+        json.dumps({'counts': counts, 'outcomes': outcomes, 'reasons': reasons})
+    )
+
+
+if __name__ == '__main__':
+    typer.run(main)
--- a/tests/routing/test_load_report.py
+++ b/tests/routing/test_load_report.py
@@ -120,6 +120,7 @@
         Encapsulated(
             kind=DatagramKind.REPORT,
             service=1,
+            service_address=AGENT,
             client=AGENT,
             balancer=AGENT,
             payload=CODEC.encode(_report(1, 1)),
