Add the operators' configuration and its spread to every node

Operators write one base file and one overlay per site.

One store value holds the record. Applying is a compare-and-swap loop: after a lost answer it reads back the change ID, also below later changes, and repeats the same write, which the compare-and-swap makes harmless. A store that holds less than the nodes is refused until a node's record has been restored.

Three nodes per site, chosen by rendezvous hashing, watch the store. A node that adopts a revision tells three random peers; others learn it from piggybacked revisions and fetch a delta or the whole record. A node never replaces its record by a lower revision.

--- /dev/null
+++ b/anvilthread/configuration/applier.py
@@ -0,0 +1,254 @@
+"""Applies operators' changes to the store."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Final
+
+from result import Err, Ok, Result
+
+from anvilthread.clock import Clock
+from anvilthread.configuration.applied import Applied
+from anvilthread.configuration.apply_error import (
+    ApplyConflict,
+    ApplyError,
+    ApplyRefused,
+    ApplyStoreBehind,
+    ApplyUnavailable,
+    ApplyUnknown,
+)
+from anvilthread.configuration.backoff import Backoff
+from anvilthread.configuration.difference import diff_texts
+from anvilthread.configuration.invalid_configuration import (
+    InvalidConfigurationError,
+)
+from anvilthread.configuration.loader import load_configurations
+from anvilthread.configuration.proposal import Proposal
+from anvilthread.configuration.record import Change, ConfigurationRecord
+from anvilthread.configuration.record_codec import (
+    RecordFormatError,
+    decode_record,
+    encode_record,
+)
+from anvilthread.store import (
+    Snapshot,
+    Store,
+    StoreAnswerLost,
+    StoreConflict,
+    StoreError,
+    StoreRefused,
+    StoreUnavailable,
+)
+
+#: Key of the record in the store.
+STORE_KEY: Final = 'anvilthread/configuration'
+
+_DEADLINE_MS: Final = 30_000
+_FIRST_RETRY_MS: Final = 100
+_LONGEST_RETRY_MS: Final = 2000
+
+Outcome = Result[Applied, ApplyError | InvalidConfigurationError]
+
+
+class Applier:
+    """Applies changes by compare-and-swap on one value.
+
+    Args:
+        store: Store that holds the record.
+        clock: Clock of the retries and of the time in the history.
+        random: Source of the jitter.
+        peer_revision: Returns the highest revision known to any node that
+            can be reached.
+        deadline_ms: Longest time for one change.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_deadline_ms',
+        '_peer_revision',
+        '_random',
+        '_store',
+    )
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        clock: Clock,
+        random: Random,
+        peer_revision: Callable[[], int],
+        deadline_ms: int = _DEADLINE_MS,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._random = random
+        self._peer_revision = peer_revision
+        self._deadline_ms = deadline_ms
+
+    def apply(self, proposal: Proposal) -> Outcome:
+        """Makes a change once, whatever happens to the answers.
+
+        Args:
+            proposal: The change.
+
+        Returns:
+            The change in the store, or why it is not known to be there.
+        """
+        checked = load_configurations(proposal.texts)
+        if isinstance(checked, Err):
+            return Err(checked.err_value)
+        deadline_ms = self._clock.now_ms() + self._deadline_ms
+        backoff = self._backoff()
+        unsettled = False
+        while True:
+            attempt = self._attempt(proposal, unsettled=unsettled)
+            if not isinstance(attempt, StoreError):
+                return attempt
+            unsettled = unsettled or isinstance(attempt, StoreAnswerLost)
+            delay_ms = backoff.next_ms()
+            if self._clock.now_ms() + delay_ms >= deadline_ms:
+                return Err(_give_up(proposal, attempt, unsettled=unsettled))
+            self._clock.sleep_ms(delay_ms)
+
+    def restore(self, record: ConfigurationRecord) -> Result[None, ApplyError]:
+        """Writes the record of a node to a store that holds an older one."""
+        found = self._read()
+        if isinstance(found, Err):
+            return Err(ApplyUnavailable(reason=str(found.err_value)))
+        snapshot, stored = found.ok_value
+        if stored is not None and stored.revision >= record.revision:
+            return Ok(None)
+        written = encode_record(record).and_then(
+            lambda value: self._store.put(STORE_KEY, value, snapshot.revision)
+        )
+        return written.map_err(
+            lambda error: ApplyRefused(
+                reason=error.reason, remedy='read the store and restore again'
+            )
+        )
+
+    def _attempt(
+        self, proposal: Proposal, *, unsettled: bool
+    ) -> Outcome | StoreError:
+        found = self._read()
+        if isinstance(found, Err):
+            return _refuse_format(found.err_value)
+        snapshot, stored = found.ok_value
+        settled = self._settle(proposal, stored, unsettled=unsettled)
+        return settled or self._write(proposal, snapshot, stored)
+
+    def _write(
+        self,
+        proposal: Proposal,
+        snapshot: Snapshot,
+        stored: ConfigurationRecord | None,
+    ) -> Outcome | StoreError:
+        record = self._next_record(proposal, stored)
+        encoded = encode_record(record)
+        if isinstance(encoded, Err):
+            error = encoded.err_value
+            return Err(ApplyRefused(reason=error.reason, remedy=error.remedy))
+        written = self._store.put(
+            STORE_KEY, encoded.ok_value, snapshot.revision
+        )
+        if isinstance(written, Ok):
+            return Ok(
+                Applied(revision=record.revision, is_new=True, record=record)
+            )
+        failure = written.err_value
+        if isinstance(failure, StoreRefused):
+            return Err(
+                ApplyRefused(reason=failure.reason, remedy=failure.remedy)
+            )
+        return failure
+
+    def _settle(
+        self,
+        proposal: Proposal,
+        stored: ConfigurationRecord | None,
+        *,
+        unsettled: bool,
+    ) -> Outcome | StoreError | None:
+        """Returns the outcome if the store's record already decides it."""
+        revision = stored.revision if stored else 0
+        if stored is not None:
+            made = stored.find(proposal.change_id)
+            if made is not None:
+                return Ok(
+                    Applied(
+                        revision=made.revision, is_new=unsettled, record=stored
+                    )
+                )
+        known = max(self._peer_revision(), proposal.expected)
+        if revision < known:
+            # The nodes may already have the change whose answer was lost.
+            if unsettled:
+                return StoreUnavailable(reason='it answers older data')
+            return Err(ApplyStoreBehind(stored=revision, known=known))
+        if stored is not None and stored.texts == proposal.texts:
+            return Ok(Applied(revision=revision, is_new=False, record=stored))
+        if stored is not None and revision != proposal.expected:
+            return Err(_conflict(proposal, stored))
+        return None
+
+    def _next_record(
+        self, proposal: Proposal, stored: ConfigurationRecord | None
+    ) -> ConfigurationRecord:
+        change = Change(
+            revision=proposal.expected + 1,
+            change_id=proposal.change_id,
+            operator=proposal.operator,
+            applied_ms=self._clock.wall_ms(),
+        )
+        if stored is None:
+            return ConfigurationRecord(change=change, texts=proposal.texts)
+        return stored.followed_by(change, proposal.texts)
+
+    def _read(
+        self,
+    ) -> Result[
+        tuple[Snapshot, ConfigurationRecord | None],
+        StoreError | RecordFormatError,
+    ]:
+        found = self._store.get(STORE_KEY)
+        if isinstance(found, Err):
+            return found
+        snapshot = found.ok_value
+        if snapshot.value is None:
+            return Ok((snapshot, None))
+        return decode_record(snapshot.value).map(
+            lambda record: (snapshot, record)
+        )
+
+    def _backoff(self) -> Backoff:
+        return Backoff(
+            random=self._random,
+            first_ms=_FIRST_RETRY_MS,
+            most_ms=_LONGEST_RETRY_MS,
+        )
+
+
+def _refuse_format(
+    error: StoreError | RecordFormatError,
+) -> Outcome | StoreError:
+    if isinstance(error, StoreRefused | RecordFormatError):
+        return Err(ApplyRefused(reason=error.reason, remedy=error.remedy))
+    return error
+
+
+def _conflict(proposal: Proposal, stored: ConfigurationRecord) -> ApplyConflict:
+    return ApplyConflict(
+        expected=proposal.expected,
+        found=stored.revision,
+        operator=stored.change.operator,
+        difference=diff_texts(stored.texts, proposal.texts, 'yours'),
+    )
+
+
+def _give_up(
+    proposal: Proposal, error: StoreError, *, unsettled: bool
+) -> ApplyError:
+    if unsettled:
+        return ApplyUnknown(change_id=proposal.change_id, reason=error.reason)
+    if isinstance(error, StoreConflict):
+        return ApplyUnavailable(reason='the store keeps answering old data')
+    return ApplyUnavailable(reason=error.reason)
--- /dev/null
+++ b/anvilthread/configuration/configuration_node.py
@@ -0,0 +1,103 @@
+"""The configuration component of one node."""
+
+from random import Random
+
+import gevent
+
+from anvilthread.address import Address
+from anvilthread.clock import Clock
+from anvilthread.configuration.holder import ConfigurationHolder, Listener
+from anvilthread.configuration.peers import ConfigurationPeers
+from anvilthread.configuration.record import ConfigurationRecord
+from anvilthread.configuration.spreader import Spreader
+from anvilthread.configuration.store_watcher import StoreWatcher
+from anvilthread.store import Store
+from anvilthread.transport import Transport
+
+
+class ConfigurationNode:
+    """Holds the highest revision seen and spreads it.
+
+    Args:
+        site: Site of this node.
+        store: The platform's store.
+        transport: Messages to other nodes.
+        peers: Other nodes.
+        clock: Clock of all delays.
+        random: Source of jitter and choices.
+    """
+
+    __slots__ = ('_holder', '_spreader', '_tasks', '_watcher')
+
+    def __init__(
+        self,
+        *,
+        site: str,
+        store: Store,
+        transport: Transport,
+        peers: ConfigurationPeers,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        self._holder = ConfigurationHolder(site=site)
+        self._spreader = Spreader(
+            transport=transport,
+            peers=peers,
+            holder=self._holder,
+            clock=clock,
+            random=random,
+        )
+        self._watcher = StoreWatcher(
+            store=store,
+            own=transport.address,
+            peers=peers,
+            clock=clock,
+            random=random,
+            receive=self._spreader.accept,
+        )
+        self._tasks: list[gevent.Greenlet] = []
+
+    @property
+    def revision(self) -> int:
+        """Revision in force; 0 if there is none yet."""
+        return self._holder.revision
+
+    @property
+    def record(self) -> ConfigurationRecord | None:
+        """Record in force."""
+        return self._holder.record
+
+    @property
+    def malformed_count(self) -> int:
+        """Number of messages that could not be read."""
+        return self._spreader.malformed_count
+
+    def subscribe(self, listener: Listener) -> None:
+        """Calls a listener whenever a configuration comes into force.
+
+        Args:
+            listener: Takes the record and the configuration of this site. It
+                must not block, because it runs in the task that adopts.
+        """
+        self._holder.subscribe(listener)
+
+    def peer_revision(self, address: Address, revision: int) -> None:
+        """Takes note of a revision that membership has piggybacked.
+
+        Args:
+            address: Address of the peer's configuration transport.
+            revision: Revision that the peer holds.
+        """
+        self._spreader.peer_revision(address, revision)
+
+    def start(self) -> None:
+        """Starts the tasks."""
+        self._tasks = [
+            gevent.spawn(self._spreader.run_receiver),
+            gevent.spawn(self._spreader.run_fetcher),
+            gevent.spawn(self._watcher.run),
+        ]
+
+    def stop(self) -> None:
+        """Ends the tasks; the transport and the store stay open."""
+        gevent.killall(self._tasks)
--- /dev/null
+++ b/anvilthread/configuration/holder.py
@@ -0,0 +1,158 @@
+"""The highest revision that a node has seen."""
+
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+from absl import logging
+from result import Ok
+
+from anvilthread.configuration.configuration import Configuration
+from anvilthread.configuration.delta import Delta, make_delta
+from anvilthread.configuration.loader import load_site
+from anvilthread.configuration.record import ConfigurationRecord
+from anvilthread.configuration.record_codec import (
+    encode_record,
+    record_digest,
+)
+
+#: Deltas that a node keeps for others. A node that is further behind gets
+#: the whole record.
+_KEPT_DELTAS: Final = 16
+
+#: Called with the record and the configuration of this node's site.
+Listener = Callable[[ConfigurationRecord, Configuration], None]
+
+
+class ConfigurationHolder:
+    """Keeps the record in force; it is only ever replaced by a higher one.
+
+    Args:
+        site: Site of this node.
+    """
+
+    __slots__ = (
+        '_deltas',
+        '_digest',
+        '_listeners',
+        '_logged',
+        '_record',
+        '_site',
+        '_whole',
+    )
+
+    def __init__(self, *, site: str) -> None:
+        self._site = site
+        self._record: ConfigurationRecord | None = None
+        self._digest = b''
+        self._whole = b''
+        self._deltas: dict[int, Delta] = {}
+        self._listeners: list[Listener] = []
+        self._logged: tuple[str, int] | None = None
+
+    @property
+    def record(self) -> ConfigurationRecord | None:
+        """The record in force."""
+        return self._record
+
+    @property
+    def revision(self) -> int:
+        """Revision in force; 0 if there is none yet."""
+        return self._record.revision if self._record else 0
+
+    @property
+    def whole(self) -> bytes:
+        """The compressed record in force."""
+        return self._whole
+
+    def subscribe(self, listener: Listener) -> None:
+        """Calls a listener whenever a configuration comes into force."""
+        self._listeners.append(listener)
+
+    def offer(self, record: ConfigurationRecord, source: str) -> bool:
+        """Adopts a record if its revision is higher.
+
+        Args:
+            record: A record from the store or a peer.
+            source: Where it came from, for the log.
+
+        Returns:
+            Whether the record is now in force.
+        """
+        if record.revision <= self.revision:
+            self._log_ignored(record, source)
+            return False
+        if self._record is not None:
+            self._keep(make_delta(self._record, record))
+        encoded = encode_record(record)
+        if isinstance(encoded, Ok):
+            self._whole = encoded.ok_value
+        self._record = record
+        self._digest = record_digest(record)
+        logging.info(
+            'event=configuration_adopted revision=%d change=%s source=%s',
+            record.revision,
+            record.change.change_id,
+            source,
+        )
+        self._notify(record)
+        return True
+
+    def deltas_from(self, revision: int) -> tuple[Delta, ...]:
+        """Returns the deltas from a revision to the one in force.
+
+        Args:
+            revision: Revision that the asking node holds.
+
+        Returns:
+            The deltas in order; none if they are not kept, or if they take
+            more bytes than the whole record.
+        """
+        chain: list[Delta] = []
+        while revision < self.revision:
+            delta = self._deltas.get(revision)
+            if delta is None:
+                return ()
+            chain.append(delta)
+            revision = delta.changes[-1].revision
+        size = len(msgspec.msgpack.encode(chain))
+        return tuple(chain) if size < len(self._whole) else ()
+
+    def _keep(self, delta: Delta) -> None:
+        if not delta.changes:
+            return
+        self._deltas[delta.base] = delta
+        if len(self._deltas) > _KEPT_DELTAS:
+            self._deltas.pop(next(iter(self._deltas)))
+
+    def _notify(self, record: ConfigurationRecord) -> None:
+        loaded = load_site(record.texts, self._site)
+        if not isinstance(loaded, Ok):
+            logging.error(
+                'event=configuration_not_understood revision=%d reason="%s" '
+                'remedy="run the version of the command that applied it on '
+                'this node"',
+                record.revision,
+                '; '.join(map(str, loaded.err_value.problems)),
+            )
+            return
+        for listener in self._listeners:
+            listener(record, loaded.ok_value)
+
+    def _log_ignored(self, record: ConfigurationRecord, source: str) -> None:
+        seen = (source, record.revision)
+        is_same = record.revision == self.revision
+        if is_same and record_digest(record) == self._digest:
+            return
+        if seen == self._logged:
+            return
+        self._logged = seen
+        logging.warning(
+            'event=%s revision=%d in_force=%d source=%s '
+            'remedy="if the store was restored from a backup, restore the '
+            'record of a node to it"',
+            'configuration_differs' if is_same else 'configuration_older',
+            record.revision,
+            self.revision,
+            source,
+        )
--- /dev/null
+++ b/anvilthread/configuration/messages.py
@@ -0,0 +1,54 @@
+"""Messages between nodes about the configuration."""
+
+from typing import Final
+
+import msgspec
+from msgspec import Struct
+
+from anvilthread.configuration.delta import Delta
+
+
+class Notice(Struct, frozen=True, kw_only=True, array_like=True, tag=1):
+    """The sender holds a revision."""
+
+    revision: int
+
+
+class Fetch(Struct, frozen=True, kw_only=True, array_like=True, tag=2):
+    """The sender holds a revision and asks for a higher one.
+
+    Revision 0 asks for the whole record.
+    """
+
+    revision: int
+
+
+class Whole(Struct, frozen=True, kw_only=True, array_like=True, tag=3):
+    """A compressed record."""
+
+    record: bytes
+
+
+class Deltas(Struct, frozen=True, kw_only=True, array_like=True, tag=4):
+    """Deltas to be applied one after the other."""
+
+    deltas: tuple[Delta, ...]
+
+
+Message = Notice | Fetch | Whole | Deltas
+
+_encoder: Final = msgspec.msgpack.Encoder()
+_decoder: Final = msgspec.msgpack.Decoder(Message)
+
+
+def encode_message(message: Message) -> bytes:
+    """Writes a message."""
+    return _encoder.encode(message)
+
+
+def decode_message(payload: bytes) -> Message | None:
+    """Reads a message; returns None if it is malformed."""
+    try:
+        return _decoder.decode(payload)
+    except msgspec.MsgspecError:
+        return None
--- /dev/null
+++ b/anvilthread/configuration/objectives.py
@@ -0,0 +1,21 @@
+"""Service-level objectives."""
+
+from msgspec import Struct
+
+from anvilthread.configuration.names import PositiveMs, Share
+
+
+class Objectives(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What a service promises; the burn report measures against it.
+
+    Attributes:
+        connections_kept: Share of connections that only the client ends.
+        requests_answered: Share of requests that get the target's answer.
+        latency_ms: Time within which a request is answered.
+        latency_share: Share of requests answered within that time.
+    """
+
+    connections_kept: Share = 0.9999
+    requests_answered: Share = 0.999
+    latency_ms: PositiveMs = 1000
+    latency_share: Share = 0.99
--- /dev/null
+++ b/anvilthread/configuration/proposal.py
@@ -0,0 +1,21 @@
+"""A change that an operator wants to make."""
+
+from msgspec import Struct
+
+from anvilthread.configuration.texts import ConfigurationTexts
+
+
+class Proposal(Struct, frozen=True, kw_only=True):
+    """Files to put in force.
+
+    Attributes:
+        texts: The new files.
+        expected: Revision that they were made from; 0 for the first.
+        change_id: Identity of the change; a repeat must use the same one.
+        operator: Who makes the change.
+    """
+
+    texts: ConfigurationTexts
+    expected: int
+    change_id: str
+    operator: str
--- /dev/null
+++ b/anvilthread/configuration/store_watcher.py
@@ -0,0 +1,130 @@
+"""Reads the configuration from the store on behalf of a site."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Final
+
+from absl import logging
+from result import Err, Ok, Result
+
+from anvilthread.address import Address
+from anvilthread.clock import Clock
+from anvilthread.configuration.applier import STORE_KEY
+from anvilthread.configuration.backoff import Backoff
+from anvilthread.configuration.peers import ConfigurationPeers
+from anvilthread.configuration.record import ConfigurationRecord
+from anvilthread.configuration.record_codec import decode_record
+from anvilthread.configuration.watcher_choice import is_watcher
+from anvilthread.store import Snapshot, Store, StoreError
+
+_WAIT_MS: Final = 20_000
+#: Time between two checks of whether this node has to watch.
+_RECHECK_MS: Final = 2000
+_FIRST_RETRY_MS: Final = 250
+#: After an outage a change still has to be in force within 3 s, and a few
+#: watchers per site that retry every 2 s are a small load.
+_LONGEST_RETRY_MS: Final = 2000
+
+Receiver = Callable[[ConfigurationRecord, str], None]
+
+
+class StoreWatcher:
+    """Watches the store if this node is one of the chosen.
+
+    Any other node reads the store rarely, so that a site whose chosen nodes
+    are cut off from the store still learns of changes. These reads add up to
+    one every two seconds for a whole site, whatever its size.
+
+    Args:
+        store: Store that holds the record.
+        own: Address of this node's configuration transport.
+        peers: Other nodes.
+        clock: Clock of the delays.
+        random: Source of the jitter.
+        receive: Called with every record that the store answers.
+    """
+
+    __slots__ = (
+        '_backoff',
+        '_clock',
+        '_index',
+        '_own',
+        '_peers',
+        '_random',
+        '_receive',
+        '_store',
+    )
+
+    def __init__(
+        self,
+        *,
+        store: Store,
+        own: Address,
+        peers: ConfigurationPeers,
+        clock: Clock,
+        random: Random,
+        receive: Receiver,
+    ) -> None:
+        self._store = store
+        self._own = own
+        self._peers = peers
+        self._clock = clock
+        self._random = random
+        self._receive = receive
+        self._index = 0
+        self._backoff = Backoff(
+            random=random,
+            first_ms=_FIRST_RETRY_MS,
+            most_ms=_LONGEST_RETRY_MS,
+        )
+
+    def run(self) -> None:
+        """Watches until the task is killed."""
+        while True:
+            site = self._peers.same_site()
+            if is_watcher(self._own, site):
+                self._watch()
+            else:
+                self._rest(len(site))
+
+    def _watch(self) -> None:
+        start_ms = self._clock.now_ms()
+        previous = self._index
+        answer = self._store.watch(STORE_KEY, previous, _WAIT_MS)
+        self._accept(answer)
+        waited = self._clock.now_ms() - start_ms >= _WAIT_MS
+        if self._index > previous or (answer.is_ok() and waited):
+            self._backoff.reset()
+        else:
+            self._clock.sleep_ms(self._backoff.next_ms())
+
+    def _rest(self, site_size: int) -> None:
+        self._clock.sleep_ms(_RECHECK_MS * self._random.uniform(0.5, 1.5))
+        if self._random.random() * site_size < 1:
+            self._accept(self._store.get(STORE_KEY))
+
+    def _accept(self, answer: Result[Snapshot, StoreError]) -> None:
+        if isinstance(answer, Err):
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                'event=store_call_failed reason="%s" remedy="%s"',
+                10,
+                answer.err_value.reason,
+                answer.err_value.remedy,
+            )
+            return
+        snapshot = answer.ok_value
+        self._index = snapshot.index
+        if snapshot.value is not None:
+            self._decode(snapshot.value)
+
+    def _decode(self, value: bytes) -> None:
+        decoded = decode_record(value)
+        if isinstance(decoded, Ok):
+            self._receive(decoded.ok_value, 'store')
+            return
+        logging.error(
+            'event=store_record_malformed reason="%s" remedy="%s"',
+            decoded.err_value.reason,
+            decoded.err_value.remedy,
+        )
--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -150,7 +150,8 @@
             return failure
         if not self._state.admit(kind):
             return Err(StoreUnavailable(reason='rate limit'))
-        self._clock.sleep_ms(self._state.faults.delay_ms)
+        if self._state.faults.delay_ms:
+            self._clock.sleep_ms(self._state.faults.delay_ms)
         return self._unreachable()
 
     def _unreachable(self) -> Err[StoreError] | None:
--- a/standins/store_state.py
+++ b/standins/store_state.py
@@ -73,7 +73,8 @@
         self._clock = clock
         self._random = random
         self._limits = limits
-        self._index = 0
+        # A watch of a missing key starts at 1, below the first write.
+        self._index = 1
         self._versions: dict[str, list[StoredValue]] = {}
         self._sessions: dict[str, tuple[int, int]] = {}
         self._changed = Event()
