--- a/anvilthread/configuration/spreader.py
+++ b/anvilthread/configuration/spreader.py
@@ -29,7 +29,9 @@
 #: Peers that are told of a new revision. With three, about 94% of the nodes
 #: hear of it in this way; the others learn it from piggybacked revisions.
 _FANOUT: Final = 3
-_FETCH_TIMEOUT_MS: Final = 500
+#: A node with a record expects a small delta, a node without one the whole.
+_DELTA_TIMEOUT_MS: Final = 250
+_WHOLE_TIMEOUT_MS: Final = 1000
 _FIRST_RETRY_MS: Final = 100
 _LONGEST_RETRY_MS: Final = 2000
 #: Pause between two attempts of a node without a configuration.
@@ -156,7 +158,8 @@
         before = self._holder.revision
         self._answered.clear()
         self._send(source, Fetch(revision=before))
-        self._clock.wait(self._answered, _FETCH_TIMEOUT_MS)
+        limit_ms = _DELTA_TIMEOUT_MS if before else _WHOLE_TIMEOUT_MS
+        self._clock.wait(self._answered, limit_ms)
         return self._holder.revision > before
 
     def _pause(self) -> None:
