Bound held request bodies and let a stop wait for handed-over requests

A stop waited only for the local slots, so an answer that passed through from another agent was cut. All requests of an agent are now tracked. The bodies of all requests together are bounded as well as each one. The edge connects without the resolver, since the target has a numeric address.

--- a/anvilthread/admission/admission.py
+++ b/anvilthread/admission/admission.py
@@ -8,6 +8,7 @@
 from anvilthread.admission.limits import Limits
 from anvilthread.admission.load import Load
 from anvilthread.admission.scheduler import Scheduler
+from anvilthread.admission.slot import Slot
 from anvilthread.admission.slot_pool import SlotPool
 from anvilthread.admission.target_state import TargetState
 from anvilthread.admission.wait_estimator import WaitEstimator
@@ -33,6 +34,8 @@
         )
         # Streams do not wait, so a free stream wakes nobody.
         self._streams = SlotPool(slots=limits.streams)
+        # Counts requests; it has no limit.
+        self._requests = SlotPool(slots=0)
         self._stopped = Event()
 
     @property
@@ -80,7 +83,10 @@
         Returns:
             A waiter, which has a slot already if one is free, or a refusal.
         """
-        refusal = self._refusal(deadline_ms)
+        now_ms = self._clock.now_ms()
+        if deadline_ms <= now_ms:
+            return Err(refusals.deadline_passed())
+        refusal = self._state.refusal(now_ms)
         if refusal is not None:
             return Err(refusal)
         waiter = Waiter(deadline_ms=deadline_ms, own=own, wake=wake)
@@ -115,31 +121,26 @@
         self._state.drain()
         self._scheduler.refuse(lambda _: True, refusals.draining())
 
+    def track(self) -> Slot:
+        """Makes a stop wait for a request, here or at another agent.
+
+        Returns:
+            Released when the request has its outcome.
+        """
+        return self._requests.take_any()
+
     def stop(self) -> int:
-        """Drains, waits for what runs and interrupts the rest.
+        """Drains, waits for all requests and interrupts the rest.
 
         Returns:
             Number of requests and streams that were interrupted.
         """
         self.drain()
-        end_ms = self._clock.now_ms() + self._limits.stop_ms
-        for pool in (self._scheduler.pool, self._streams):
-            left_ms = max(end_ms - self._clock.now_ms(), 0)
-            self._clock.wait(pool.idle, left_ms)
-        interrupted = self._scheduler.pool.busy + self._streams.busy
+        self._clock.wait(self._requests.idle, self._limits.stop_ms)
+        interrupted = self._requests.busy
         self._stopped.set()
         return interrupted
 
-    def _refusal(self, deadline_ms: int) -> Outcome | None:
-        now_ms = self._clock.now_ms()
-        if deadline_ms <= now_ms:
-            return refusals.deadline_passed()
-        if self._state.draining:
-            return refusals.draining()
-        if self._state.paused(now_ms):
-            return refusals.target_unavailable()
-        return None
-
     def _enter_stream(self, waiter: Waiter) -> Result[Waiter, Outcome]:
         slot = self._streams.take()
         if slot is None:
--- a/anvilthread/admission/dispatcher.py
+++ b/anvilthread/admission/dispatcher.py
@@ -12,6 +12,7 @@
 from anvilthread.admission.retry_budget import RetryBudget
 from anvilthread.admission.search import Search
 from anvilthread.admission.slot import Slot
+from anvilthread.admission.tracked_request import TrackedRequest
 from anvilthread.clock import Clock
 from anvilthread.outcomes import Outcome, Request, SingleAnswer
 
@@ -50,6 +51,24 @@
     def run(self, request: Request, answer: SingleAnswer) -> Outcome:
         """Runs a request, more than once only if that is allowed."""
         self._budget.record()
+        tracked = TrackedRequest(admission=self._admission, request=request)
+        with tracked:
+            outcome = self._run(tracked.bounded, answer)
+        return tracked.explain(outcome)
+
+    def run_reserved(
+        self, request: Request, answer: SingleAnswer, slot: Slot
+    ) -> Outcome:
+        """Runs a request of another agent in the slot reserved for it.
+
+        It is not retried here: its own agent decides that.
+        """
+        tracked = TrackedRequest(admission=self._admission, request=request)
+        with tracked:
+            outcome = self._local(slot).run(tracked.bounded, answer)
+        return tracked.explain(outcome)
+
+    def _run(self, request: Request, answer: SingleAnswer) -> Outcome:
         attempts = Attempts()
         while True:
             found = self._find(request, attempts)
@@ -63,15 +82,6 @@
             if not self._may_repeat(attempts):
                 return attempts.conclude(outcome)
 
-    def run_reserved(
-        self, request: Request, answer: SingleAnswer, slot: Slot
-    ) -> Outcome:
-        """Runs a request of another agent in the slot reserved for it.
-
-        It is not retried here: its own agent decides that.
-        """
-        return self._local(slot).run(request, answer)
-
     def _find(
         self, request: Request, attempts: Attempts
     ) -> Result[Place, Outcome]:
--- a/anvilthread/admission/local_place.py
+++ b/anvilthread/admission/local_place.py
@@ -2,9 +2,6 @@
 
 from typing import ClassVar
 
-import msgspec
-from gevent.event import Event
-
 from anvilthread.address import Address
 from anvilthread.admission import refusals
 from anvilthread.admission.admission import Admission
@@ -18,7 +15,6 @@
     Request,
     SingleAnswer,
 )
-from anvilthread.outcomes.event_link import EventLink
 
 
 class LocalPlace:
@@ -57,27 +53,12 @@
         if request.deadline_ms <= self._clock.now_ms():
             self._slot.release()
             return refusals.deadline_passed()
-        interrupted = Event()
-        sources = (request.cancelled, self._admission.stopped)
-        bounded = msgspec.structs.replace(request, cancelled=interrupted)
-        with EventLink(sources=sources, target=interrupted):
-            outcome = self._edge.run(bounded, answer, self._slot)
+        outcome = self._edge.run(request, answer, self._slot)
         self._note(outcome)
-        return self._explained(outcome, request)
+        return outcome
 
     def _note(self, outcome: Outcome) -> None:
         if outcome.reason is Reason.TARGET_UNAVAILABLE:
             self._admission.pause()
         if outcome.kind is OutcomeKind.ANSWERED:
             self._admission.confirm()
-
-    def _explained(self, outcome: Outcome, request: Request) -> Outcome:
-        if outcome.reason is not Reason.CANCELLED:
-            return outcome
-        if request.cancelled.is_set():
-            return outcome
-        return msgspec.structs.replace(
-            outcome,
-            reason=Reason.STOPPED,
-            detail='the agent stopped before the request had ended',
-        )
--- a/anvilthread/admission/slot_pool.py
+++ b/anvilthread/admission/slot_pool.py
@@ -54,6 +54,10 @@
         allowed = self._slots if limit is None else min(limit, self._slots)
         if self._busy >= allowed:
             return None
+        return self.take_any()
+
+    def take_any(self) -> Slot:
+        """Takes a slot beyond the limit if need be, to count its use."""
         self._busy += 1
         self._idle.clear()
         return Slot(on_release=self._release)
--- a/anvilthread/admission/target_state.py
+++ b/anvilthread/admission/target_state.py
@@ -1,5 +1,8 @@
 """Whether a target may get new requests."""
 
+from anvilthread.admission import refusals
+from anvilthread.outcomes import Outcome
+
 
 class TargetState:
     """What is known about one target's readiness."""
@@ -31,6 +34,14 @@
         """Whether nothing new may start."""
         return self._draining or self.paused(now_ms)
 
+    def refusal(self, now_ms: int) -> Outcome | None:
+        """Why nothing new may start; None if it may."""
+        if self._draining:
+            return refusals.draining()
+        if self.paused(now_ms):
+            return refusals.target_unavailable()
+        return None
+
     def drain(self) -> None:
         """Notes that the target is leaving."""
         self._draining = True
--- a/anvilthread/outcomes/event_link.py
+++ b/anvilthread/outcomes/event_link.py
@@ -25,6 +25,8 @@
 
     def __enter__(self) -> None:
         for source in self._sources:
+            if source.is_set():
+                self._target.set()
             source.rawlink(self._follow)
 
     def __exit__(
--- a/anvilthread/outcomes/handover/handover_server.py
+++ b/anvilthread/outcomes/handover/handover_server.py
@@ -7,7 +7,6 @@
 from anvilthread.admission import Admission, Dispatcher, Slot, refusals
 from anvilthread.clock import Clock
 from anvilthread.outcomes import key_refusals
-from anvilthread.outcomes.bytes_body import BytesBody
 from anvilthread.outcomes.event_link import EventLink
 from anvilthread.outcomes.handover.channel import Channel, ChannelLostError
 from anvilthread.outcomes.handover.channel_body import ChannelBody
@@ -20,6 +19,7 @@
     Reserved,
     Run,
 )
+from anvilthread.outcomes.held_bodies import HeldBodies
 from anvilthread.outcomes.outcome import Outcome
 from anvilthread.outcomes.outcome_kind import OutcomeKind
 from anvilthread.outcomes.reason import Reason
@@ -54,6 +54,9 @@
         self._admission = admission
         self._dispatcher = dispatcher
         self._owner = owner
+        self._bodies = HeldBodies(
+            body_limit=settings.body_bytes, total_limit=settings.held_bytes
+        )
 
     def serve(self, channel: Channel, offer: Offer) -> None:
         """Handles one offer from its arrival to the end of the run."""
@@ -139,27 +142,28 @@
     def _run(
         self, offer: Offer, request: Request, answer: SingleAnswer, slot: Slot
     ) -> Outcome:
+        if request.stream and request.execution_key is None:
+            return self._run_whole(offer, request, answer, slot)
+        # Nothing runs before the whole body is here, so that a body that
+        # stays away leaves no doubt.
         try:
-            whole = self._with_body(request)
+            held = self._bodies.hold(request.body)
         except BaseException:
             slot.release()
             raise
-        if offer.decide:
-            return self._owner.run(whole, answer)
-        return self._dispatcher.run_reserved(whole, answer, slot)
+        if isinstance(held, Err):
+            slot.release()
+            return _refused(offer, held.err_value)
+        with held.ok_value as body:
+            whole = msgspec.structs.replace(request, body=body)
+            return self._run_whole(offer, whole, answer, slot)
 
-    def _with_body(self, request: Request) -> Request:
-        if request.stream and request.execution_key is None:
-            return request
-        # Nothing runs before the whole body is here, so that a body that
-        # stays away leaves no doubt.
-        parts = bytearray()
-        while part := request.body.read(self._settings.chunk_bytes):
-            parts.extend(part)
-            if len(parts) > self._settings.body_bytes:
-                raise ChannelLostError
-        body = BytesBody(content=bytes(parts))
-        return msgspec.structs.replace(request, body=body)
+    def _run_whole(
+        self, offer: Offer, request: Request, answer: SingleAnswer, slot: Slot
+    ) -> Outcome:
+        if offer.decide:
+            return self._owner.run(request, answer)
+        return self._dispatcher.run_reserved(request, answer, slot)
 
 
 def _nothing() -> None:
@@ -167,10 +171,14 @@
 
 
 def _expired(offer: Offer) -> Outcome:
-    if offer.decide:
-        # An earlier request with the same key may have run.
-        return key_refusals.owner_unreachable()
-    return Outcome.not_run(
+    expired = Outcome.not_run(
         Reason.RESERVATION_EXPIRED,
         'the place at the other agent expired before the request arrived',
     )
+    return _refused(offer, expired)
+
+
+def _refused(offer: Offer, outcome: Outcome) -> Outcome:
+    # Before the owner has decided, an earlier request with the same key may
+    # have run.
+    return key_refusals.owner_unreachable() if offer.decide else outcome
--- a/anvilthread/outcomes/handover/handover_settings.py
+++ b/anvilthread/outcomes/handover/handover_settings.py
@@ -12,6 +12,7 @@
         channels: Most handovers from other agents at a time.
         chunk_bytes: Longest part of a body in one message.
         body_bytes: Longest body of a request that is no stream.
+        held_bytes: Memory for the bodies of all handed-over requests.
     """
 
     fanout: int = 6
@@ -19,3 +20,4 @@
     channels: int = 4096
     chunk_bytes: int = 32_768
     body_bytes: int = 1 << 20
+    held_bytes: int = 64 << 20
--- a/anvilthread/outcomes/request_handler.py
+++ b/anvilthread/outcomes/request_handler.py
@@ -4,9 +4,9 @@
 from typing import Final
 
 import msgspec
+from result import Err
 
-from anvilthread.outcomes.body import Body
-from anvilthread.outcomes.bytes_body import BytesBody
+from anvilthread.outcomes.held_bodies import HeldBodies
 from anvilthread.outcomes.outcome import OUTCOME_HEADER, Outcome
 from anvilthread.outcomes.outcome_kind import OutcomeKind
 from anvilthread.outcomes.reason import Reason
@@ -18,7 +18,8 @@
 #: Default bound of a request body that is held in memory.
 MAX_BODY_BYTES: Final = 1 << 20
 
-_READ_BYTES: Final = 65_536
+#: Default bound of all request bodies that are held at a time.
+MAX_HELD_BYTES: Final = 64 << 20
 
 
 class RequestHandler:
@@ -30,15 +31,22 @@
     Args:
         runner: Decides when, where and whether requests run.
         max_body_bytes: Longest body of a request that is no stream.
+        max_held_bytes: Memory for the bodies of all requests together.
     """
 
-    __slots__ = ('_max_body_bytes', '_runner')
+    __slots__ = ('_bodies', '_runner')
 
     def __init__(
-        self, *, runner: Runner, max_body_bytes: int = MAX_BODY_BYTES
+        self,
+        *,
+        runner: Runner,
+        max_body_bytes: int = MAX_BODY_BYTES,
+        max_held_bytes: int = MAX_HELD_BYTES,
     ) -> None:
         self._runner = runner
-        self._max_body_bytes = max_body_bytes
+        self._bodies = HeldBodies(
+            body_limit=max_body_bytes, total_limit=max_held_bytes
+        )
 
     def handle(self, request: Request, responder: Responder) -> Outcome:
         """Runs a request and answers it; called in a task of its own.
@@ -66,26 +74,12 @@
         # The digest of a request with a key needs the whole body.
         if request.stream and request.execution_key is None:
             return self._runner.run(request, answer)
-        try:
-            content = self._read(request.body)
-        except ClientGoneError:
-            return _client_gone()
-        if content is None:
-            return _too_large(self._max_body_bytes)
-        body = BytesBody(content=content)
-        whole = msgspec.structs.replace(request, body=body)
-        return self._runner.run(whole, answer)
-
-    def _read(self, body: Body) -> bytes | None:
-        if (body.length or 0) > self._max_body_bytes:
-            return None
-        parts = bytearray()
-        while len(parts) <= self._max_body_bytes:
-            part = body.read(_READ_BYTES)
-            if not part:
-                return bytes(parts)
-            parts.extend(part)
-        return None
+        held = self._bodies.hold(request.body)
+        if isinstance(held, Err):
+            return held.err_value
+        with held.ok_value as body:
+            whole = msgspec.structs.replace(request, body=body)
+            return self._runner.run(whole, answer)
 
     def _report(self, answer: SingleAnswer, outcome: Outcome) -> None:
         if outcome.kind is OutcomeKind.ANSWERED or answer.closed:
@@ -124,18 +118,6 @@
         self._responder.fail(outcome)
 
 
-def _too_large(limit: int) -> Outcome:
-    return Outcome.not_run(
-        Reason.BODY_TOO_LARGE, f'the body is longer than {limit} bytes'
-    )
-
-
-def _client_gone() -> Outcome:
-    return Outcome.not_run(
-        Reason.CANCELLED, 'the client left before its request was complete'
-    )
-
-
 def _internal_fault() -> Outcome:
     return Outcome.unknown(
         Reason.ANSWER_LOST, 'the agent failed while it handled the request'
--- a/anvilthread/target/gevent_connection.py
+++ b/anvilthread/target/gevent_connection.py
@@ -1,9 +1,8 @@
 """An HTTP/1.1 connection that blocks only its own task."""
 
-import socket
 from typing import Final
 
-from gevent.socket import create_connection
+from gevent import socket
 from urllib3.connection import HTTPConnection
 
 from anvilthread.address import Address
@@ -28,7 +27,12 @@
         Raises:
             OSError: If the target does not accept the connection.
         """
-        self.sock = create_connection(
-            (self.host, self.port), timeout=_CONNECT_SECONDS
-        )
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connected = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        connected.settimeout(_CONNECT_SECONDS)
+        try:
+            connected.connect((self.host, self.port))
+        except BaseException:
+            connected.close()
+            raise
+        connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.sock = connected
--- a/tests/outcomes/test_handover.py
+++ b/tests/outcomes/test_handover.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+import gevent
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -274,6 +275,27 @@
     assert handed.outcome.kind is kind
 
 
+def test_stop_waits_for_requests_at_other_agents() -> None:
+    """Guards against a stop that cuts an answer that passes through."""
+    fleet = _fleet(limits=Limits(slots=1, stop_ms=1500))
+    busy = _occupy(fleet, 100)
+    answered = fleet.agents[0].send(_request(fleet, 'a', query='&ms=1200'))
+    fleet.clock.advance(200)
+    cut = fleet.agents[0].send(_request(fleet, 'b', query='&ms=1900'))
+    fleet.clock.advance(10)
+    stop = gevent.spawn(fleet.agents[0].admission.stop)
+    fleet.clock.advance(1400)
+    assert not stop.ready()
+    assert answered.outcome is not None
+    assert answered.outcome.kind is OutcomeKind.ANSWERED
+    fleet.clock.advance(200)
+    assert stop.get(block=False) == 1
+    assert cut.outcome is not None
+    assert cut.outcome.reason is Reason.STOPPED
+    fleet.clock.advance(5000)
+    judge(fleet, [busy, answered, cut])
+
+
 def test_reservation_without_a_run_expires() -> None:
     """Guards against a slot held for an agent that has gone."""
     fleet = _fleet()
--- a/tests/outcomes/test_request_handler.py
+++ b/tests/outcomes/test_request_handler.py
@@ -19,6 +19,7 @@
     SecondAnswerError,
     SingleAnswer,
 )
+from anvilthread.outcomes.held_bodies import HeldBodies
 from standins.collected_answer import CollectedAnswer
 from standins.requests import run_request
 
@@ -156,6 +157,18 @@
         assert collected.failure.status == 413
 
 
+def test_bodies_are_bounded_together() -> None:
+    """Guards against many uploads that exhaust the memory of the agent."""
+    bodies = HeldBodies(body_limit=100, total_limit=150)
+    with bodies.hold(BytesBody(content=bytes(100))).unwrap():
+        refusal = bodies.hold(BytesBody(content=bytes(51))).unwrap_err()
+        assert refusal.kind is OutcomeKind.NOT_RUN
+        with bodies.hold(BytesBody(content=bytes(50))).unwrap() as body:
+            assert body.length == 50
+            assert bodies.held_bytes == 150
+    assert bodies.held_bytes == 0
+
+
 @pytest.mark.parametrize(
     ('method', 'path', 'headers', 'expected'),
     [
