Set aside at most half of the time to the deadline for the run

A mean run time raised by large pictures made every request with an early deadline look hopeless and shed it. Adds the example of admission.

--- a/anvilthread/admission/dispatcher.py
+++ b/anvilthread/admission/dispatcher.py
@@ -52,9 +52,7 @@
         """Runs a request, more than once only if that is allowed."""
         self._budget.record()
         tracked = TrackedRequest(admission=self._admission, request=request)
-        with tracked:
-            outcome = self._run(tracked.bounded, answer)
-        return tracked.explain(outcome)
+        return tracked.run(lambda bounded: self._run(bounded, answer))
 
     def run_reserved(
         self, request: Request, answer: SingleAnswer, slot: Slot
@@ -64,9 +62,8 @@
         It is not retried here: its own agent decides that.
         """
         tracked = TrackedRequest(admission=self._admission, request=request)
-        with tracked:
-            outcome = self._local(slot).run(tracked.bounded, answer)
-        return tracked.explain(outcome)
+        place = self._local(slot)
+        return tracked.run(lambda bounded: place.run(bounded, answer))
 
     def _run(self, request: Request, answer: SingleAnswer) -> Outcome:
         attempts = Attempts()
--- a/anvilthread/admission/scheduler.py
+++ b/anvilthread/admission/scheduler.py
@@ -102,9 +102,11 @@
             return None
         ahead = self._queue.own_before(waiter.deadline_ms)
         wait_ms = self._estimator.wait_ms(ahead)
-        left_ms = waiter.deadline_ms - self._clock.now_ms()
-        usable_ms = (left_ms - self._estimator.run_ms) * self._limits.shed_ratio
-        if wait_ms <= usable_ms:
+        left_ms: float = waiter.deadline_ms - self._clock.now_ms()
+        # Long runs must not make every request with an early deadline look
+        # hopeless, so at most half of the time is set aside for the run.
+        left_ms = max(left_ms - self._estimator.run_ms, left_ms / 2)
+        if wait_ms <= left_ms * self._limits.shed_ratio:
             return None
         return refusals.overloaded(int(wait_ms))
 
--- a/anvilthread/admission/tracked_request.py
+++ b/anvilthread/admission/tracked_request.py
@@ -1,8 +1,7 @@
 """A request while an agent is responsible for it."""
 
+from collections.abc import Callable
 from contextlib import ExitStack
-from types import TracebackType
-from typing import Self
 
 import msgspec
 from gevent.event import Event
@@ -20,36 +19,33 @@
         request: The client's request.
     """
 
-    __slots__ = ('_admission', '_bounded', '_request', '_stack')
+    __slots__ = ('_admission', '_request')
 
     def __init__(self, *, admission: Admission, request: Request) -> None:
         self._admission = admission
         self._request = request
-        self._bounded = msgspec.structs.replace(request, cancelled=Event())
-        self._stack = ExitStack()
 
-    @property
-    def bounded(self) -> Request:
-        """The request, cancelled by its client or by a stop."""
-        return self._bounded
+    def run(self, step: Callable[[Request], Outcome]) -> Outcome:
+        """Runs the request.
 
-    def __enter__(self) -> Self:
+        Args:
+            step: Gets the request, which its client or a stop can cancel.
+
+        Returns:
+            The outcome, with the stop as its reason if that was the cause.
+        """
+        interrupted = Event()
         sources = (self._request.cancelled, self._admission.stopped)
-        link = EventLink(sources=sources, target=self._bounded.cancelled)
-        self._stack.enter_context(link)
-        self._stack.callback(self._admission.track().release)
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        self._stack.close()
-
-    def explain(self, outcome: Outcome) -> Outcome:
-        """Names the stop as the reason if the client did not cancel."""
+        with ExitStack() as stack:
+            stack.callback(self._admission.track().release)
+            link = EventLink(sources=sources, target=interrupted)
+            stack.enter_context(link)
+            outcome = step(
+                msgspec.structs.replace(self._request, cancelled=interrupted)
+            )
+        return self._explain(outcome)
+
+    def _explain(self, outcome: Outcome) -> Outcome:
         if outcome.reason is not Reason.CANCELLED:
             return outcome
         if self._request.cancelled.is_set():
--- a/tests/admission/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -106,6 +106,18 @@
     assert agent.started() == ['first', 'second']
 
 
+def test_long_runs_do_not_shed_urgent_requests() -> None:
+    """Guards against pictures that make every quick reserve look late."""
+    agent = Agent(slots=4)
+    for _ in range(2):
+        for number in range(4):
+            agent.send(f'picture{number}', query='&ms=400')
+        agent.clock.advance(390)
+    agent.send('reserve', left_ms=500, query='&ms=10')
+    agent.clock.advance(500)
+    assert agent.outcomes['reserve'].kind is OutcomeKind.ANSWERED
+
+
 @pytest.mark.parametrize('freeze', [False, True])
 def test_expired_request_never_reaches_the_target(freeze: bool) -> None:
     """Guards against running expired work, also after a freeze."""
