--- a/standins/target.py
+++ b/standins/target.py
@@ -335,6 +335,8 @@
         behaviour=TargetBehaviour(slots=slots, run_ms=run_ms, cold_ms=cold_ms),
         ledger=Ledger(path=ledger),
     )
+    target.start()
+    typer.echo(str(target.address))
     target.serve_forever()
 
 
