--- a/anvilthread/outcomes/handover/handover_server.py
+++ b/anvilthread/outcomes/handover/handover_server.py
@@ -7,8 +7,6 @@
 from anvilthread.admission import Admission, Dispatcher, Slot, refusals
 from anvilthread.clock import Clock
 from anvilthread.outcomes import key_refusals
-from anvilthread.outcomes.agent_identity import AgentIdentity
-from anvilthread.outcomes.bytes_body import BytesBody
 from anvilthread.outcomes.event_link import EventLink
 from anvilthread.outcomes.handover.channel import Channel, ChannelLostError
 from anvilthread.outcomes.handover.channel_body import ChannelBody
@@ -21,6 +19,7 @@
     Reserved,
     Run,
 )
+from anvilthread.outcomes.held_bodies import HeldBodies
 from anvilthread.outcomes.outcome import Outcome
 from anvilthread.outcomes.outcome_kind import OutcomeKind
 from anvilthread.outcomes.reason import Reason
@@ -35,7 +34,6 @@
 
     Args:
         clock: Clock of deadlines and reservations.
-        identity: This agent.
         settings: Limits.
         admission: The local slots.
         dispatcher: Runs requests in reserved slots.
@@ -46,18 +44,19 @@
         self,
         *,
         clock: Clock,
-        identity: AgentIdentity,
         settings: HandoverSettings,
         admission: Admission,
         dispatcher: Dispatcher,
         owner: Runner,
     ) -> None:
         self._clock = clock
-        self._identity = identity
         self._settings = settings
         self._admission = admission
         self._dispatcher = dispatcher
         self._owner = owner
+        self._bodies = HeldBodies(
+            body_limit=settings.body_bytes, total_limit=settings.held_bytes
+        )
 
     def serve(self, channel: Channel, offer: Offer) -> None:
         """Handles one offer from its arrival to the end of the run."""
@@ -100,8 +99,9 @@
     def _reserve(
         self, channel: Channel, offer: Offer, deadline_ms: int
     ) -> Result[Slot, Outcome]:
-        if offer.owner is not None:
-            return self._reserve_decision(offer.owner)
+        if offer.decide:
+            # Only the run itself takes a slot, here or at another agent.
+            return Ok(Slot(on_release=_nothing))
         wake = Event()
         entered = self._admission.enter(
             deadline_ms=deadline_ms, stream=offer.stream, own=False, wake=wake
@@ -119,12 +119,6 @@
             return Err(waiter.refusal or refusals.deadline_passed())
         return Ok(waiter.slot)
 
-    def _reserve_decision(self, incarnation: int) -> Result[Slot, Outcome]:
-        if incarnation != self._identity.incarnation:
-            return Err(key_refusals.owner_gone())
-        # Only the run itself takes a slot, here or at another agent.
-        return Ok(Slot(on_release=_nothing))
-
     def _await_run(self, channel: Channel) -> Run | None:
         channel.put(Reserved())
         message = channel.get(self._settings.reservation_ms)
@@ -148,27 +142,28 @@
     def _run(
         self, offer: Offer, request: Request, answer: SingleAnswer, slot: Slot
     ) -> Outcome:
+        if request.stream and request.execution_key is None:
+            return self._run_whole(offer, request, answer, slot)
+        # Nothing runs before the whole body is here, so that a body that
+        # stays away leaves no doubt.
         try:
-            whole = self._with_body(request)
+            held = self._bodies.hold(request.body)
         except BaseException:
             slot.release()
             raise
-        if offer.owner is not None:
-            return self._owner.run(whole, answer)
-        return self._dispatcher.run_reserved(whole, answer, slot)
+        if isinstance(held, Err):
+            slot.release()
+            return _refused(offer, held.err_value)
+        with held.ok_value as body:
+            whole = msgspec.structs.replace(request, body=body)
+            return self._run_whole(offer, whole, answer, slot)
 
-    def _with_body(self, request: Request) -> Request:
-        if request.stream and request.execution_key is None:
-            return request
-        # Nothing runs before the whole body is here, so that a body that
-        # stays away leaves no doubt.
-        parts = bytearray()
-        while part := request.body.read(self._settings.chunk_bytes):
-            parts.extend(part)
-            if len(parts) > self._settings.body_bytes:
-                raise ChannelLostError
-        body = BytesBody(content=bytes(parts))
-        return msgspec.structs.replace(request, body=body)
+    def _run_whole(
+        self, offer: Offer, request: Request, answer: SingleAnswer, slot: Slot
+    ) -> Outcome:
+        if offer.decide:
+            return self._owner.run(request, answer)
+        return self._dispatcher.run_reserved(request, answer, slot)
 
 
 def _nothing() -> None:
@@ -176,10 +171,14 @@
 
 
 def _expired(offer: Offer) -> Outcome:
-    if offer.owner is not None:
-        # An earlier request with the same key may have run.
-        return key_refusals.owner_unreachable()
-    return Outcome.not_run(
+    expired = Outcome.not_run(
         Reason.RESERVATION_EXPIRED,
         'the place at the other agent expired before the request arrived',
     )
+    return _refused(offer, expired)
+
+
+def _refused(offer: Offer, outcome: Outcome) -> Outcome:
+    # Before the owner has decided, an earlier request with the same key may
+    # have run.
+    return key_refusals.owner_unreachable() if offer.decide else outcome
