--- a/standins/placement_scenario.py
+++ b/standins/placement_scenario.py
@@ -56,7 +56,7 @@
             report_delay_ms=self.report_delay_ms,
         )
         trial.report_loss = self.report_loss
-        trial.add_agents(list(self.slots))
+        trial.add_agents(self.slots)
         trial.add_balancers(self.balancers)
         if self.prepare is not None:
             self.prepare(trial)
@@ -79,7 +79,7 @@
 
 def _replace(trial: PlacementTrial) -> float:
     leaving = trial.agents[:2]
-    trial.add_agents([1, 1], warm_up_ms=WARM_UP_MS)
+    trial.add_agents((1, 1), warm_up_ms=WARM_UP_MS)
     trial.drain(leaving, spread_s=10)
     trial.run(20)
     return trial.run(_WATCH_S)
@@ -87,7 +87,7 @@
 
 def _kill(trial: PlacementTrial) -> float:
     trial.kill(trial.agents[:2], learn_s=2)
-    trial.add_agents([1, 1], warm_up_ms=WARM_UP_MS)
+    trial.add_agents((1, 1), warm_up_ms=WARM_UP_MS)
     trial.run(40)
     return trial.run(_WATCH_S)
 
--- a/standins/placement_trial.py
+++ b/standins/placement_trial.py
@@ -6,7 +6,7 @@
 
 import heapq
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import partial
 from random import Random
 
@@ -96,7 +96,7 @@
         self._publish()
 
     def add_agents(
-        self, weights: list[int], *, warm_up_ms: int = 0
+        self, weights: Sequence[int], *, warm_up_ms: int = 0
     ) -> list[TrialAgent]:
         """Starts agents with the given slots."""
         added = [
