Build the program as one file

VMs have no disks and a process starts no other process, so a one-file program that starts a child and unpacks to a temporary folder does not fit. shiv makes a zip application that runs in one process and unpacks to a directory of choice once.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
-SOURCES = anvilthread standins demo benchmarks examples tests
+SOURCES = anvilthread standins demo benchmarks examples tests tools
 
 .PHONY: setup test lint format types demo bench binary
 
@@ -31,4 +31,5 @@
 	$(PYTHON) -m benchmarks
 
 binary: setup
-	$(PYTHON) -m demo.binary
+	$(PYTHON) -m tools.binary dist/anvilthread
+	$(PYTHON) -I -S tools/smoke_test.py dist/anvilthread
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the build."""
