--- a/tests/commands/test_command_line.py
+++ b/tests/commands/test_command_line.py
@@ -84,16 +84,24 @@
         assert err.startswith('error: ') and err.count('\n') == 1
 
 
+def _find_nothing(name: str) -> object:
+    raise ModuleNotFoundError(name=name)
+
+
+def _find_empty(name: str) -> object:
+    return object()
+
+
 @pytest.mark.parametrize('role', ['balancer', 'agent'])
+@pytest.mark.parametrize('find', [_find_nothing, _find_empty])
 def test_missing_part_is_named(
-    role: str, command: Command, monkeypatch: pytest.MonkeyPatch
+    role: str,
+    find: Callable[[str], object],
+    command: Command,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a command that pretends to run a missing part."""
-
-    def find_nothing(name: str) -> object:
-        raise ModuleNotFoundError(name=name)
-
-    monkeypatch.setattr(connections.importlib, 'import_module', find_nothing)
+    monkeypatch.setattr(connections.importlib, 'import_module', find)
     path = EXAMPLES / f'{role}.toml'
     code, _, err = command(role, '--settings', path)
     assert code == ExitCode.UNAVAILABLE
--- a/tests/telemetry/test_log.py
+++ b/tests/telemetry/test_log.py
@@ -81,10 +81,13 @@
     def __init__(self) -> None:
         super().__init__()
         self.released = threading.Event()
+        self.writers: set[int] = set()
 
     def write(self, text: str) -> int:
         """Blocks the writing thread as a full pipe does."""
-        self.released.wait(30)
+        self.writers.add(threading.get_ident())
+        if threading.get_ident() != threading.main_thread().ident:
+            self.released.wait(30)
         return super().write(text)
 
 
@@ -103,6 +106,7 @@
     for number in range(6):
         sink.emit(_record(f'line {number}'))
     assert sink.dropped == 2
+    assert threading.get_ident() not in stream.writers
     stream.released.set()
     sink.finish(timeout_ms=5000)
     lines = stream.getvalue().splitlines()
