--- a/anvilthread/commands/app.py
+++ b/anvilthread/commands/app.py
@@ -18,6 +18,7 @@
 from anvilthread.commands.report_commands import report_app
 from anvilthread.commands.status_command import STATUS_HELP, status
 from anvilthread.commands.target_commands import target_app
+from anvilthread.error import AnvilthreadError
 
 _HELP: Final = """Layer-4 load balancer with routable QUIC connection IDs.
 
@@ -91,6 +92,8 @@
     match error:
         case CommandFailure():
             return _print_error(str(error.error), error.exit_code)
+        case AnvilthreadError():
+            return _print_error(str(error), ExitCode.BAD_INPUT)
         case typer.TyperException():
             return _print_usage(error)
         case typer.Abort() | KeyboardInterrupt():
--- a/tests/commands/test_command_line.py
+++ b/tests/commands/test_command_line.py
@@ -10,6 +10,7 @@
 from anvilthread.commands import connections, daemon_commands
 from anvilthread.commands.app import app
 from anvilthread.commands.exit_code import ExitCode
+from anvilthread.error import AnvilthreadError
 
 ROOT = Path(__file__).parents[2]
 EXAMPLES = ROOT / 'examples' / 'settings'
@@ -124,6 +125,22 @@
     assert 'Traceback' in command('agent', '--settings', 'x')[2]
 
 
+def test_error_of_a_daemon_is_one_line(
+    command: Command, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an address in use that looks like an internal error."""
+
+    def refuse(settings: object) -> None:
+        raise AnvilthreadError(reason='port in use', remedy='choose another')
+
+    monkeypatch.setattr(connections, 'run_agent', refuse)
+    code, _, err = command('agent', '--settings', EXAMPLES / 'agent.toml')
+    assert (code, err) == (
+        ExitCode.BAD_INPUT,
+        'error: port in use; choose another\n',
+    )
+
+
 def test_version(command: Command) -> None:
     """Guards against a binary that cannot say what it is."""
     assert command('--version') == (0, 'anvilthread 0.1.0\n', '')
