--- a/tests/commands/test_command_line.py
+++ b/tests/commands/test_command_line.py
@@ -10,6 +10,7 @@
 from anvilthread.commands import connections, daemon_commands
 from anvilthread.commands.app import app
 from anvilthread.commands.exit_code import ExitCode
+from anvilthread.error import AnvilthreadError
 
 ROOT = Path(__file__).parents[2]
 EXAMPLES = ROOT / 'examples' / 'settings'
@@ -84,16 +85,24 @@
         assert err.startswith('error: ') and err.count('\n') == 1
 
 
+def _find_nothing(name: str) -> object:
+    raise ModuleNotFoundError(name=name)
+
+
+def _find_empty(name: str) -> object:
+    return object()
+
+
 @pytest.mark.parametrize('role', ['balancer', 'agent'])
+@pytest.mark.parametrize('find', [_find_nothing, _find_empty])
 def test_missing_part_is_named(
-    role: str, command: Command, monkeypatch: pytest.MonkeyPatch
+    role: str,
+    find: Callable[[str], object],
+    command: Command,
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against a command that pretends to run a missing part."""
-
-    def find_nothing(name: str) -> object:
-        raise ModuleNotFoundError(name=name)
-
-    monkeypatch.setattr(connections.importlib, 'import_module', find_nothing)
+    monkeypatch.setattr(connections.importlib, 'import_module', find)
     path = EXAMPLES / f'{role}.toml'
     code, _, err = command(role, '--settings', path)
     assert code == ExitCode.UNAVAILABLE
@@ -116,6 +125,22 @@
     assert 'Traceback' in command('agent', '--settings', 'x')[2]
 
 
+def test_error_of_a_daemon_is_one_line(
+    command: Command, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an address in use that looks like an internal error."""
+
+    def refuse(settings: object) -> None:
+        raise AnvilthreadError(reason='port in use', remedy='choose another')
+
+    monkeypatch.setattr(connections, 'run_agent', refuse)
+    code, _, err = command('agent', '--settings', EXAMPLES / 'agent.toml')
+    assert (code, err) == (
+        ExitCode.BAD_INPUT,
+        'error: port in use; choose another\n',
+    )
+
+
 def test_version(command: Command) -> None:
     """Guards against a binary that cannot say what it is."""
     assert command('--version') == (0, 'anvilthread 0.1.0\n', '')
