Bring the configuration from the store to every node

Cause: store calls ran in native threads, which share patched locks in a patched process. They failed with 'Cannot switch to a different thread' and ended the watch task; a change took 3.6 s to reach every node. Ruled out: slow peers, since nodes told by peers had it within 50 ms. Calls now run in the calling task when sockets are patched.

The configuration commands work on the store. An apply over an existing revision needs the revision that the files were made from, so that it cannot silently take back another operator's change.

--- a/anvilthread/agent/request_pipeline.py
+++ b/anvilthread/agent/request_pipeline.py
@@ -81,7 +81,6 @@
         )
         self._server = HandoverServer(
             clock=node.clock,
-            identity=identity,
             settings=handover,
             admission=self.admission,
             dispatcher=dispatcher,
--- a/anvilthread/commands/config_commands.py
+++ b/anvilthread/commands/config_commands.py
@@ -1,21 +1,26 @@
 """The commands for the configuration of all sites."""
 
 from datetime import UTC, datetime
+from functools import partial
 from pathlib import Path
 from typing import Annotated, Final, TypeAlias
 
 import typer
 
+from anvilthread.address import Address
 from anvilthread.commands import connections
 from anvilthread.commands.command_failure import require
 from anvilthread.commands.configuration_gateway import RevisionSummary
 from anvilthread.commands.exit_code import ExitCode
+from anvilthread.commands.node_call import NodeCall
 from anvilthread.commands.options import (
     JsonOption,
     OperatorOption,
     StoreOption,
+    parse_address,
 )
 from anvilthread.commands.output import print_json, print_pairs, print_table
+from anvilthread.operation import OperationClient
 
 config_app: Final = typer.Typer(
     help='Check, apply and read the configuration of all sites.',
@@ -32,6 +37,32 @@
     ),
 ]
 
+RevisionOption: TypeAlias = Annotated[
+    int | None,
+    typer.Option(
+        '--revision',
+        help='Revision that the files were made from; see config show.',
+        show_default=False,
+    ),
+]
+NodeOption: TypeAlias = Annotated[
+    Address | None,
+    typer.Option(
+        '--node',
+        metavar='HOST:PORT',
+        parser=parse_address,
+        help='Request address of a node; refuses to apply to a store that '
+        'holds older data than this node.',
+        show_default=False,
+    ),
+]
+KeysOption: TypeAlias = Annotated[
+    Path | None,
+    typer.Option(
+        '--keys', metavar='FILE', help='Key file.', show_default=False
+    ),
+]
+
 _MS_PER_SECOND: Final = 1000
 _CHECK_HELP: Final = """Check configuration files; needs no store.
 
@@ -46,7 +77,8 @@
 
 \b
 Examples:
-  anvilthread config apply configuration --store http://10.1.0.5:8500
+  anvilthread config apply configuration --store http://10.1.0.5:8500 \\
+    --revision 12 --node 10.1.0.21:7947 --keys keys.toml
 """
 _SHOW_HELP: Final = """Show the configuration in the store.
 
@@ -86,12 +118,18 @@
     store: StoreOption,
     operator: OperatorOption,
     *,
+    revision: RevisionOption = None,
+    node: NodeOption = None,
+    keys: KeysOption = None,
     as_json: JsonOption = False,
 ) -> None:
     """Applies files as the next revision."""
-    gateway = connections.open_configuration(store)
+    gateway = connections.open_configuration(
+        store, partial(_node_revision, node, keys)
+    )
     applied = require(
-        gateway.apply(directory, operator=operator), ExitCode.REFUSED
+        gateway.apply(directory, operator=operator, revision=revision),
+        ExitCode.REFUSED,
     )
     if as_json:
         print_json(applied)
@@ -138,6 +176,13 @@
         )
 
 
+def _node_revision(node: Address | None, keys: Path | None) -> int:
+    if node is None or keys is None:
+        return 0
+    call = NodeCall(node=node, keys=keys, bind=None)
+    return call.run(OperationClient.status).revision
+
+
 def _cells(revision: RevisionSummary) -> tuple[object, ...]:
     applied = datetime.fromtimestamp(revision.wall_ms // _MS_PER_SECOND, UTC)
     return (
--- a/anvilthread/commands/configuration_gateway.py
+++ b/anvilthread/commands/configuration_gateway.py
@@ -37,9 +37,16 @@
         """
 
     def apply(
-        self, directory: Path, *, operator: str
+        self, directory: Path, *, operator: str, revision: int | None
     ) -> Result[RevisionSummary, AnvilthreadError]:
-        """Checks the files and makes them the next revision."""
+        """Checks the files and makes them the next revision.
+
+        Args:
+            directory: Where the files are.
+            operator: Who applies them.
+            revision: Revision that the files were made from; None only for
+                the first one.
+        """
 
     def show(self, *, site: str) -> Result[str, AnvilthreadError]:
         """The configuration in the store as TOML.
--- a/anvilthread/commands/connections.py
+++ b/anvilthread/commands/connections.py
@@ -6,6 +6,7 @@
 
 import importlib
 import socket
+from collections.abc import Callable
 from typing import Any, Final
 
 from anvilthread.address import Address
@@ -30,15 +31,18 @@
     _load('anvilthread.agent.agent', 'run')(settings)
 
 
-def open_configuration(store: str) -> ConfigurationGateway:
+def open_configuration(
+    store: str, node_revision: Callable[[], int] = int
+) -> ConfigurationGateway:
     """Opens the configuration part.
 
     Args:
         store: URL of the store; empty for commands that only read files.
+        node_revision: Returns the highest revision that nodes hold.
     """
     gateway: ConfigurationGateway = _load(
-        'anvilthread.configuration', 'open_gateway'
-    )(store)
+        'anvilthread.commands.store_gateway', 'StoreGateway'
+    )(url=store, node_revision=node_revision)
     return gateway
 
 
--- /dev/null
+++ b/anvilthread/commands/store_gateway.py
@@ -0,0 +1,166 @@
+"""Configuration commands on files and the store."""
+
+import uuid
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from random import SystemRandom
+
+from result import Err, Ok, Result
+
+from anvilthread.clock import SystemClock
+from anvilthread.commands.configuration_gateway import RevisionSummary
+from anvilthread.configuration import (
+    STORE_KEY,
+    Applier,
+    Change,
+    ConfigurationRecord,
+    ConfigurationTexts,
+    Proposal,
+    decode_record,
+    diff_texts,
+    load_configurations,
+    texts_from_files,
+)
+from anvilthread.configuration.texts import BASE_FILE
+from anvilthread.daemon.local_configuration import read_texts
+from anvilthread.error import AnvilthreadError
+from anvilthread.store import ConsulStore
+
+
+class RevisionMissingError(AnvilthreadError):
+    """The operator has not said which revision the files come from."""
+
+
+class StoreGateway:
+    """Reads and changes the record in the store.
+
+    Args:
+        url: URL of the store; empty for commands that only read files.
+        node_revision: Returns the highest revision that nodes hold.
+    """
+
+    __slots__ = ('_clock', '_node_revision', '_store')
+
+    def __init__(
+        self, *, url: str, node_revision: Callable[[], int] = int
+    ) -> None:
+        self._clock = SystemClock()
+        self._store = ConsulStore(url=url, clock=self._clock)
+        self._node_revision = node_revision
+
+    def check(self, directory: Path) -> Result[Sequence[str], AnvilthreadError]:
+        """Checks base.toml and overlays; returns the sites."""
+        texts = read_texts(directory)
+        if isinstance(texts, Err):
+            return texts
+        loaded = load_configurations(texts.ok_value)
+        if isinstance(loaded, Err):
+            return Err(loaded.err_value)
+        return Ok(sorted(loaded.ok_value))
+
+    def apply(
+        self, directory: Path, *, operator: str, revision: int | None
+    ) -> Result[RevisionSummary, AnvilthreadError]:
+        """Checks the files and makes them the next revision."""
+        texts = read_texts(directory)
+        if isinstance(texts, Err):
+            return texts
+        expected = self._expected(texts.ok_value, revision)
+        if isinstance(expected, Err):
+            return expected
+        applier = Applier(
+            store=self._store,
+            clock=self._clock,
+            random=SystemRandom(),
+            peer_revision=self._node_revision,
+        )
+        applied = applier.apply(
+            Proposal(
+                texts=texts.ok_value,
+                expected=expected.ok_value,
+                change_id=uuid.uuid4().hex,
+                operator=operator,
+            )
+        )
+        if isinstance(applied, Err):
+            return Err(applied.err_value)
+        return Ok(_summary(applied.ok_value.record.change))
+
+    def show(self, *, site: str) -> Result[str, AnvilthreadError]:
+        """The files in the store; with a site, the base and its overlay."""
+        record = self._read()
+        if isinstance(record, Err):
+            return record
+        if record.ok_value is None:
+            return Ok('')
+        texts = record.ok_value.texts
+        files = texts.files()
+        if site:
+            chosen = (BASE_FILE, f'{site}.toml')
+            files = {name: files[name] for name in chosen if name in files}
+        head = f'# revision {record.ok_value.revision}'
+        parts = [f'# {name}\n{text.strip()}' for name, text in files.items()]
+        return Ok('\n\n'.join((head, *parts)))
+
+    def diff(self, directory: Path) -> Result[str, AnvilthreadError]:
+        """What an apply would change, as a unified diff."""
+        texts = read_texts(directory)
+        if isinstance(texts, Err):
+            return texts
+        record = self._read()
+        if isinstance(record, Err):
+            return record
+        stored = record.ok_value
+        before = stored.texts if stored else texts_from_files({BASE_FILE: ''})
+        return Ok(diff_texts(before, texts.ok_value, 'yours'))
+
+    def history(self) -> Result[Sequence[RevisionSummary], AnvilthreadError]:
+        """The recent revisions, newest first."""
+        record = self._read()
+        if isinstance(record, Err):
+            return record
+        if record.ok_value is None:
+            return Ok(())
+        return Ok([_summary(one) for one in reversed(record.ok_value.changes)])
+
+    def _expected(
+        self, texts: ConfigurationTexts, revision: int | None
+    ) -> Result[int, AnvilthreadError]:
+        if revision is not None:
+            return Ok(revision)
+        record = self._read()
+        if isinstance(record, Err):
+            return record
+        stored = record.ok_value
+        if stored is None or stored.texts == texts:
+            return Ok(stored.revision if stored else 0)
+        # Without the revision, a change of another operator that these files
+        # do not contain would be taken back silently.
+        return Err(
+            RevisionMissingError(
+                reason=f'the store holds revision {stored.revision}',
+                remedy='read `config diff`, then give the revision that your '
+                f'files are based on, for example --revision {stored.revision}',
+            )
+        )
+
+    def _read(self) -> Result[ConfigurationRecord | None, AnvilthreadError]:
+        found = self._store.get(STORE_KEY)
+        if isinstance(found, Err):
+            return Err(found.err_value)
+        content = found.ok_value.value
+        if content is None:
+            return Ok(None)
+        decoded = decode_record(content)
+        if isinstance(decoded, Err):
+            return Err(decoded.err_value)
+        return Ok(decoded.ok_value)
+
+
+def _summary(change: Change) -> RevisionSummary:
+    return RevisionSummary(
+        revision=change.revision,
+        change_id=change.change_id,
+        operator=change.operator,
+        wall_ms=change.applied_ms,
+    )
--- a/anvilthread/daemon/local_configuration.py
+++ b/anvilthread/daemon/local_configuration.py
@@ -2,11 +2,15 @@
 
 from pathlib import Path
 
-from result import Err, Result
+from result import Err, Ok, Result
 
-from anvilthread.configuration.configuration import Configuration
-from anvilthread.configuration.loader import load_site
-from anvilthread.configuration.texts import BASE_FILE, texts_from_files
+from anvilthread.configuration import (
+    Configuration,
+    ConfigurationTexts,
+    load_site,
+    texts_from_files,
+)
+from anvilthread.configuration.texts import BASE_FILE
 from anvilthread.error import AnvilthreadError
 
 
@@ -14,28 +18,51 @@
     """The directory with the configuration cannot be read."""
 
 
-def read_local_configuration(
-    directory: Path, site: str
-) -> Result[Configuration, AnvilthreadError]:
-    """Reads base.toml and the overlay of one site.
+def read_texts(
+    directory: Path,
+) -> Result[ConfigurationTexts, AnvilthreadError]:
+    """Reads base.toml and the overlays of a directory.
+
+    Overlays lie beside the base or in a folder ``overlays``.
 
     Args:
         directory: Where the files are.
-        site: Site whose overlay applies.
 
     Returns:
-        The configuration, or what is wrong with the files.
+        The texts, or why they cannot be read.
     """
+    paths = [*directory.glob('*.toml'), *directory.glob('overlays/*.toml')]
     try:
         files = {
             path.name: path.read_text(encoding='utf-8')
-            for path in sorted(directory.glob('*.toml'))
+            for path in sorted(paths)
         }
     except (OSError, UnicodeDecodeError) as error:
         return Err(_unreadable(directory, str(error)))
     if BASE_FILE not in files:
         return Err(_unreadable(directory, f'{BASE_FILE} is missing'))
-    return load_site(texts_from_files(files), site).map_err(_as_error)
+    return Ok(texts_from_files(files))
+
+
+def read_local_configuration(
+    directory: Path, site: str
+) -> Result[Configuration, AnvilthreadError]:
+    """Reads the configuration of one site from files.
+
+    Args:
+        directory: Where base.toml and the overlays are.
+        site: Site whose overlay applies.
+
+    Returns:
+        The configuration, or what is wrong with the files.
+    """
+    texts = read_texts(directory)
+    if isinstance(texts, Err):
+        return texts
+    loaded = load_site(texts.ok_value, site)
+    if isinstance(loaded, Err):
+        return Err(loaded.err_value)
+    return Ok(loaded.ok_value)
 
 
 def _unreadable(directory: Path, reason: str) -> AnvilthreadError:
@@ -43,7 +70,3 @@
         reason=f'configuration in {directory} cannot be read: {reason}',
         remedy='correct the path or the permissions',
     )
-
-
-def _as_error(error: AnvilthreadError) -> AnvilthreadError:
-    return error
--- a/anvilthread/daemon/node.py
+++ b/anvilthread/daemon/node.py
@@ -79,6 +79,11 @@
         self.metrics = Metrics()
         self.health = Health(conditions=CONDITIONS)
         self.view = ConfigurationView()
+        self._revision = self.metrics.gauge(
+            'anvilthread_configuration_revision',
+            'Revision of the configuration in force; 0 for local files.',
+        )
+        self.metrics.before_render(self._export_revision)
         # Nothing is kept on disk, so wall-clock time makes a new process at
         # the same address newer than the one before it.
         self.incarnation = self.clock.wall_ms() // _MS_PER_SECOND
@@ -225,6 +230,9 @@
             holds=self.view.configuration is not None,
         )
 
+    def _export_revision(self) -> None:
+        self._revision.series().set(self.view.revision)
+
     def _reload_keys(self) -> None:
         loaded = self._key_file.load()
         if isinstance(loaded, Err):
--- a/anvilthread/store/consul_http.py
+++ b/anvilthread/store/consul_http.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 import gevent
+from gevent import monkey
 from gevent.threadpool import ThreadPool
 from result import Err, Ok, Result
 from urllib3 import BaseHTTPResponse, PoolManager, Retry, Timeout
@@ -89,9 +90,14 @@
         self, method: str, path: str, kind: CallKind, body: bytes, wait_ms: int
     ) -> Result[BaseHTTPResponse, StoreError]:
         self._counts.count(kind)
-        pool = self._watches if kind is CallKind.WATCH else self._calls
         arguments = (method, path, body, self._timeout_ms + wait_ms)
-        answer = pool.apply(self._exchange, arguments)
+        if monkey.is_module_patched('socket'):
+            # Patched locks must not be shared between threads, and patched
+            # sockets block no other task.
+            answer = self._exchange(*arguments)
+        else:
+            pool = self._watches if kind is CallKind.WATCH else self._calls
+            answer = pool.apply(self._exchange, arguments)
         if isinstance(answer, HTTPError):
             return Err(_failure(kind, answer))
         return _classify(answer, kind)
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -4,6 +4,7 @@
 import tempfile
 import time
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Annotated
 
@@ -40,6 +41,8 @@
         self._clients = clients
         self._seconds = seconds
         self._started_s = time.monotonic()
+        self._in_force_s: float = 0
+        self._imbalance = 1.0
 
     def run(self) -> Verdict:
         """Starts everything, changes it under load and ends it."""
@@ -86,20 +89,24 @@
         )
 
     def _change(self) -> None:
+        self._wait_until(0.2)
+        # Long streams do not move, so evenness is judged before the changes.
+        self._imbalance = max(map(_imbalance, self._clusters))
         self._at(0.25, 'killing balancer 2', self._kill_balancer)
         self._at(0.35, 'adding balancer 4', self._add_balancer)
         self._at(0.45, 'draining target 1', self._drain)
         self._at(
             0.6, 'replacing balancer 1 and target 2 together', self._replace
         )
-        self._at(0.75, 'taking the store down', self._stop_store)
+        self._at(0.7, 'applying a configuration', self._apply)
+        self._at(0.78, 'taking the store down', self._stop_store)
         self._at(0.9, 'bringing the store back', self._start_store)
 
     def _decide(self) -> Verdict:
-        verdict = Verdict()
-        self._wait_until(0.97)
-        for cluster in self._clusters:
-            verdict.imbalance = max(verdict.imbalance, _imbalance(cluster))
+        verdict = Verdict(
+            imbalance=self._imbalance, in_force_s=self._in_force_s
+        )
+        self._wait_until(1)
         for cluster in self._clusters:
             cluster.processes.wait('load', 60)
             outcomes = verdict.add_clients(self._results(cluster))
@@ -127,6 +134,10 @@
         cluster.drain_target(2)
         cluster.withdraw_balancer(1)
 
+    def _apply(self, cluster: Cluster) -> None:
+        elapsed_s = cluster.apply(deadline_ms=9000)
+        self._in_force_s = max(self._in_force_s, elapsed_s)
+
     def _stop_store(self, cluster: Cluster) -> None:
         cluster.set_store(outage=True)
 
@@ -138,8 +149,8 @@
     ) -> None:
         self._wait_until(share)
         self._say(text)
-        for cluster in self._clusters:
-            change(cluster)
+        with ThreadPoolExecutor() as pool:
+            list(pool.map(change, self._clusters))
 
     def _wait_until(self, share: float) -> None:
         due_s = self._started_s + share * self._seconds
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -162,24 +162,45 @@
         )
         urlopen(request, timeout=5).close()
 
-    def apply(self) -> None:
-        """Applies the configuration of the firm to the store."""
+    def apply(self, deadline_ms: int) -> float:
+        """Applies a change and waits until every node has it.
+
+        Args:
+            deadline_ms: New deadline of the requests of every service.
+
+        Returns:
+            Seconds from the end of the command until it is in force at every
+            node.
+
+        Raises:
+            TimeoutError: If that takes more than 30 s.
+        """
+        directory = self._directory / 'configuration'
+        text = self.firm.configuration().replace(
+            'stream_paths', f'deadline_ms = {deadline_ms}\nstream_paths'
+        )
+        (directory / 'base.toml').write_text(text)
         self.processes.call(
             'anvilthread',
             'config',
             'apply',
-            str(self._directory / 'configuration'),
+            str(directory),
             '--store',
             f'http://{self._store_address}',
             '--operator',
             'demo',
         )
+        applied_s = time.monotonic()
+        for kind, numbers in ((1, self._balancers), (2, self._live_targets())):
+            for number in numbers:
+                self._wait_revision(kind, number)
+        return time.monotonic() - applied_s
 
     def connections(self) -> dict[int, int]:
         """Open connections of every target by the agents' metrics."""
         return {
             number: int(self._metric(2, number, 'anvilthread_connections'))
-            for number in self._target_numbers()
+            for number in self._live_targets()
         }
 
     def wait_ready(self, kind: int, number: int) -> None:
@@ -202,7 +223,7 @@
         """Waits until every node is ready."""
         for number in self._balancers:
             self.wait_ready(1, number)
-        for number in self._target_numbers():
+        for number in self._live_targets():
             self.wait_ready(2, number)
 
     def ledger(self, number: int) -> Path:
@@ -232,7 +253,7 @@
         """Address at which clients reach a service."""
         return Address(host=self.firm.ip(9, 1), port=service.port)
 
-    def _target_numbers(self) -> list[int]:
+    def _live_targets(self) -> list[int]:
         names = self.processes.names()
         return sorted(
             int(name.removeprefix('agent-'))
@@ -240,6 +261,14 @@
             if name.startswith('agent-')
         )
 
+    def _wait_revision(self, kind: int, number: int) -> None:
+        name = 'anvilthread_configuration_revision'
+        for _ in range(300):
+            if self._metric(kind, number, name):
+                return
+            pause()
+        raise TimeoutError(f'{self.firm.ip(kind, number)} has no revision')
+
     def _metric(self, kind: int, number: int, name: str) -> float:
         url = f'http://{self.firm.ip(kind, number)}:{_METRICS}/metrics'
         with urlopen(url, timeout=5) as answer:
--- a/demo/verdict.py
+++ b/demo/verdict.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
-#: Largest over mean of connections between targets that the brief allows.
-MAX_IMBALANCE: Final = 1.05
+#: Longest time until a configuration is in force, in seconds.
+MAX_IN_FORCE_S: Final = 3
 
 
 class Verdict(msgspec.Struct, kw_only=True):
@@ -27,6 +27,7 @@
             answers that belong to another request.
         not_run_but_run: Requests reported as not run that a target started.
         imbalance: Largest over mean of connections at the targets of a pool.
+        in_force_s: Seconds until a configuration is in force at every node.
     """
 
     connections: int = 0
@@ -39,6 +40,7 @@
     misrouted: int = 0
     not_run_but_run: int = 0
     imbalance: float = 1.0
+    in_force_s: float = 0
 
     @property
     def holds(self) -> bool:
@@ -49,7 +51,8 @@
             self.misrouted,
             self.not_run_but_run,
         )
-        return not any(violations) and self.answered > 0
+        in_time = self.in_force_s <= MAX_IN_FORCE_S
+        return not any(violations) and in_time and self.answered > 0
 
     def add_clients(self, results: Path) -> dict[str, str]:
         """Adds what clients saw; returns their outcomes by request ID."""
@@ -92,6 +95,7 @@
         """Returns the result as one line of key=value pairs."""
         pairs = msgspec.structs.asdict(self)
         pairs['imbalance'] = f'{self.imbalance:.3f}'
+        pairs['in_force_s'] = f'{self.in_force_s:.2f}'
         return ' '.join(f'{key}={content}' for key, content in pairs.items())
 
 
