--- a/anvilthread/membership/joiner.py
+++ b/anvilthread/membership/joiner.py
@@ -72,6 +72,9 @@
         """Takes in a new member and gives it some peers."""
         context = self._context
         known = context.table.get(sender)
+        if known is not None and Record.of(known) == message.record:
+            # Learned from this very member, not from an earlier process.
+            known = None
         context.updater.take_record(message.record, spread=True)
         live = context.table.index.live.sample(context.random, _OFFERED)
         offered = [context.table.get(it) for it in live if it != sender]
--- a/tests/membership/test_failures.py
+++ b/tests/membership/test_failures.py
@@ -83,11 +83,15 @@
 def test_suspicion_is_refuted() -> None:
     """Guards against a slow member that cannot clear its name."""
     with _cluster(8, seed=1, sites=('site-a',)) as cluster:
+        deaths = _deaths(cluster)
         before = cluster.nodes[5].node.member.incarnation
-        cluster.nodes[5].clock.pause(700)
-        cluster.clock.advance(650)
-        assert MemberState.SUSPECT in cluster.states(5).values()
-        cluster.clock.advance(2000)
+        # Shorter than a freeze, which would bring a new incarnation as well.
+        while MemberState.SUSPECT not in cluster.states(5).values():
+            cluster.nodes[5].clock.pause(450)
+            cluster.clock.advance(500)
+            assert cluster.clock.now_ms() < 1_020_000
+        cluster.clock.advance(1000)
+        assert not deaths
         assert set(cluster.states(5).values()) == {MemberState.ALIVE}
         assert cluster.nodes[5].node.member.incarnation > before
 
--- a/tests/membership/test_table.py
+++ b/tests/membership/test_table.py
@@ -126,7 +126,8 @@
         queue.put(Change.of(_member(number)), urgent=True)
     assert len(queue) == 3
     size = 30
-    while taken := queue.take(size, 4):
+    for _ in range(20):
+        taken = queue.take(size, 4)
         assert len(taken) <= 2
         sent.extend(item.address for item in taken)
     assert sorted(map(sent.count, set(sent))) == [4, 4, 4]
