--- a/anvilthread/configuration/configuration_node.py
+++ b/anvilthread/configuration/configuration_node.py
@@ -90,6 +90,18 @@
         """
         self._spreader.peer_revision(address, revision)
 
+    def offer(self, record: ConfigurationRecord, source: str) -> None:
+        """Takes a record that the store has accepted, and tells peers.
+
+        A command that has applied a change may hand the record to a node, so
+        that it spreads even if the store's watchers are cut off.
+
+        Args:
+            record: Record from :class:`Applied`.
+            source: Who handed it over, for the log.
+        """
+        self._spreader.accept(record, source)
+
     def start(self) -> None:
         """Starts the tasks."""
         self._tasks = [
--- a/anvilthread/transport/key_verifier.py
+++ b/anvilthread/transport/key_verifier.py
@@ -12,6 +12,9 @@
 _ENDPOINT: Final = 'inproc://zeromq.zap.01'
 _DOMAIN: Final = 'anvilthread'
 
+#: Refused keys that are remembered, so that each is logged once.
+_MAX_LOGGED: Final = 64
+
 
 class KeyVerifier:
     """Answers the ZAP requests of one context (ZeroMQ RFC 27).
@@ -30,7 +33,7 @@
         self, *, context: 'zmq.Context[Any]', keys: tuple[CurveKeyPair, ...]
     ) -> None:
         self._accepted = frozenset(pair.public for pair in keys)
-        self._logged = False
+        self._logged: set[bytes] = set()
         self._authenticator = Authenticator(context)
         # The library's start() would make a socket that blocks the thread.
         self._authenticator.zap_socket = context.socket(zmq.REP)
@@ -42,8 +45,10 @@
     def callback(self, domain: str, key: bytes) -> bool:
         """Tells whether a client's public key is accepted."""
         accepted = key in self._accepted
-        if not accepted and not self._logged:
-            self._logged = True
+        if not accepted and key not in self._logged:
+            if len(self._logged) >= _MAX_LOGGED:
+                self._logged.clear()
+            self._logged.add(key)
             logging.warning(
                 'event=curve_client_refused client_key=%s '
                 'reason="the key is not one of this cluster" '
--- a/examples/configuration.py
+++ b/examples/configuration.py
@@ -30,6 +30,7 @@
 from standins.store import StoreServer
 
 _FILES = Path(__file__).parent / 'configuration' / 'blue-mahoe'
+_NODES = 3
 _LOCAL = Address(host='127.0.0.1', port=0)
 
 
@@ -55,21 +56,17 @@
 
 
 def start_node(
-    number: int, keys: CurveKeyPair, peers: FixedPeers, url: str
+    number: int, channels: Channels, peers: FixedPeers, store: ConsulStore
 ) -> ConfigurationNode:
     """Starts a node that prints each configuration in force."""
-    clock = SystemClock()
-    channels = Channels(
-        transport=ZmqTransport(address=_LOCAL, keys=(keys,), clock=clock)
-    )
     transport = channels.channel(ChannelName.CONFIGURATION)
     peers.addresses.append(transport.address)
     node = ConfigurationNode(
         site='kgn-b',
-        store=ConsulStore(url=url, clock=clock),
+        store=store,
         transport=transport,
         peers=peers,
-        clock=clock,
+        clock=SystemClock(),
         random=Random(number),
     )
     node.subscribe(partial(show, number))
@@ -84,9 +81,19 @@
     server.start()
     peers = FixedPeers()
     keys = CurveKeyPair.generate()
-    nodes = [start_node(one, keys, peers, server.url) for one in (1, 2, 3)]
+    store = ConsulStore(url=server.url, clock=clock)
+    networks = [
+        Channels(
+            transport=ZmqTransport(address=_LOCAL, keys=(keys,), clock=clock)
+        )
+        for _ in range(_NODES)
+    ]
+    nodes = [
+        start_node(number, channels, peers, store)
+        for number, channels in enumerate(networks, start=1)
+    ]
     applier = Applier(
-        store=ConsulStore(url=server.url, clock=clock),
+        store=store,
         clock=clock,
         random=Random(0),
         peer_revision=lambda: max(node.revision for node in nodes),
@@ -104,8 +111,10 @@
     with gevent.Timeout(10):
         while any(node.revision < applied.revision for node in nodes):
             gevent.sleep(0.05)
-    for node in nodes:
+    for node, channels in zip(nodes, networks, strict=True):
         node.stop()
+        channels.close()
+    store.close()
     server.stop()
 
 
--- a/standins/configuration_fleet.py
+++ b/standins/configuration_fleet.py
@@ -131,9 +131,13 @@
         """Revisions in force anywhere."""
         return {node.revision for node in self.nodes.values()}
 
+    def stop_probes(self) -> None:
+        """Ends the piggybacking, as without a membership component."""
+        self._probes.kill()
+
     def stop(self) -> None:
         """Ends all tasks."""
-        self._probes.kill()
+        self.stop_probes()
         for node in self.nodes.values():
             node.stop()
 
--- a/tests/configuration/test_configuration_node.py
+++ b/tests/configuration/test_configuration_node.py
@@ -72,10 +72,21 @@
     assert fleet.revisions() == {2}
 
 
+def test_record_handed_over_by_a_command(fleet: Fleet) -> None:
+    """Guards against a change that waits for nodes cut off from the store."""
+    for store in fleet.stores.values():
+        store.reachable = False
+    applied = fleet.apply(proposal(deadline_ms=2, expected=1)).unwrap()
+    next(iter(fleet.nodes.values())).offer(applied.record, 'command')
+    fleet.clock.advance(_TARGET_MS)
+    assert fleet.revisions() == {2}
+
+
 def test_new_node_during_an_outage(fleet: Fleet) -> None:
     """Guards against a new VM that waits for the store."""
     fleet.state.faults.outage = True
     fleet.clock.advance(60_000)
+    fleet.stop_probes()
     node = fleet.add()
     fleet.clock.advance(_TARGET_MS)
     assert node.revision == 1
@@ -92,6 +103,14 @@
     assert fleet.revisions() == {2}
 
 
+def test_spread_without_membership(fleet: Fleet) -> None:
+    """Guards against nodes that no notice reaches and nobody probes."""
+    fleet.stop_probes()
+    fleet.apply(proposal(deadline_ms=2, expected=1)).unwrap()
+    fleet.clock.advance(180_000)
+    assert fleet.revisions() == {2}
+
+
 def test_slow_store_delays_only_changes(fleet: Fleet) -> None:
     """Guards against a node that hands out nothing while a call is slow."""
     fleet.state.faults.delay_ms = 10_000
@@ -213,7 +232,7 @@
         texts=texts(9),
     )
     node = fleet.add()
-    node._holder.offer(forked, 'test')
+    node.offer(forked, 'test')
     fleet.state.faults.outage = False
     fleet.apply(proposal(deadline_ms=2, expected=1)).unwrap()
     fleet.clock.advance(_TARGET_MS)
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -1,6 +1,7 @@
 """What both implementations of the store promise."""
 
 from copy import copy
+from random import Random
 
 import gevent
 import pytest
@@ -19,8 +20,9 @@
     StoreRefused,
     StoreUnavailable,
 )
+from standins.memory_store import MemoryStore
 from standins.store import StoreServer
-from standins.store_state import StoreFaults, StoreState
+from standins.store_state import StoreFaults, StoreLimits, StoreState
 
 _KEY = 'anvilthread/configuration'
 _TTL_MS = 10_000
@@ -124,16 +126,44 @@
     assert store.watch(_KEY, 1, 100).is_err()
 
 
-def test_rates_are_enforced(server: StoreServer, consul: ConsulStore) -> None:
+def test_rates_are_enforced() -> None:
     """Guards against a stand-in that allows more than the platform."""
-    server.state.calls.clear()
-    outcomes = [consul.get(_KEY) for _ in range(10)]
-    assert all(outcome.is_ok() for outcome in outcomes)
-    server.state.admit = lambda kind: False  # type: ignore[method-assign]
+    clock = ManualClock()
+    limits = StoreLimits(writes=2, reads=3, watches=1)
+    state = StoreState(clock=clock, random=Random(1), limits=limits)
+    kinds = (CallKind.WRITE, CallKind.LEASE, CallKind.READ, CallKind.WATCH)
+    admitted = [state.admit(kind) for kind in kinds * 2]
+    assert admitted == [True, True, True, True, False, False, True, False]
+    clock.advance(1000)
+    assert state.admit(CallKind.WRITE)
+    state.waiting = 1
+    assert not state.admit(CallKind.WATCH)
+    assert state.peak(CallKind.READ, CallKind.WATCH) == 4
+
+
+def test_call_over_the_rate_had_no_effect(
+    server: StoreServer, consul: ConsulStore, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against reporting a refused call as one that may have run."""
+    monkeypatch.setattr(server.state, 'admit', lambda kind: False)
     refused = consul.put(_KEY, b'x', 0)
     assert isinstance(refused.unwrap_err(), StoreUnavailable)
 
 
+def test_lease_of_a_paused_holder_passes_on() -> None:
+    """Guards against a lease that a paused holder keeps for ever."""
+    clock = ManualClock()
+    state = StoreState(clock=clock, random=Random(1), limits=StoreLimits())
+    one, two = (MemoryStore(state=state, clock=clock) for _ in range(2))
+    paused = one.acquire('lease', _TTL_MS).unwrap()
+    clock.skip(_TTL_MS - 1)
+    assert two.acquire('lease', _TTL_MS).is_err()
+    clock.skip(1)
+    assert two.acquire('lease', _TTL_MS).unwrap().fencing > paused.fencing
+    assert paused.has_lapsed(clock)
+    assert one.renew(paused).is_err()
+
+
 def test_slow_calls_stall_nothing_else(
     server: StoreServer, consul: ConsulStore
 ) -> None:
