--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -17,7 +17,7 @@
 from anvilthread.store import CallKind
 from standins.configuration_fleet import Fleet, proposal
 
-_SIZES: Final = (10, 40, 160, 400)
+_SIZES: Final = (10, 40, 160, 400, 1600)
 _CHANGES: Final = 10
 _PERIOD_MS: Final = 6000
 _CHANGES_PER_DAY: Final = 14_000
