--- a/anvilthread/admission/attempts.py
+++ b/anvilthread/admission/attempts.py
@@ -20,11 +20,12 @@
 class Attempts:
     """Remembers where a request was tried and what is known about it."""
 
-    __slots__ = ('_count', '_doubt', '_excluded', '_tried_here')
+    __slots__ = ('_count', '_doubt', '_excluded', '_last', '_tried_here')
 
     def __init__(self) -> None:
         self._count = 0
         self._doubt: Outcome | None = None
+        self._last: Outcome | None = None
         self._excluded: set[Address] = set()
         self._tried_here = False
 
@@ -46,6 +47,7 @@
     def note(self, place: Place, outcome: Outcome) -> None:
         """Adds a run that has ended."""
         self._count += 1
+        self._last = outcome
         if place.agent is None:
             self._tried_here = True
         else:
@@ -64,8 +66,9 @@
     def conclude(self, outcome: Outcome) -> Outcome:
         """Returns what is true of all runs together.
 
-        A request is *not run* only if no run of it is in doubt.
+        A request is *not run* only if no run of it is in doubt. Why there is
+        no place for another run says less than why the last one failed.
         """
-        if outcome.kind is OutcomeKind.NOT_RUN and self._doubt is not None:
-            return self._doubt
-        return outcome
+        if outcome.kind is not OutcomeKind.NOT_RUN:
+            return outcome
+        return self._doubt or self._last or outcome
--- a/anvilthread/outcomes/outcome.py
+++ b/anvilthread/outcomes/outcome.py
@@ -71,7 +71,10 @@
     @property
     def status(self) -> int:
         """HTTP status of the answer that reports this outcome."""
-        return _CLIENT_ERRORS.get(self.reason, _STATUSES[self.kind])
+        status = _STATUSES[self.kind]
+        if self.kind is not OutcomeKind.NOT_RUN:
+            return status
+        return _CLIENT_ERRORS.get(self.reason, status)
 
     @property
     def headers(self) -> list[tuple[str, str]]:
--- a/tests/admission/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -247,14 +247,24 @@
     assert waiters[2].slot is not None
 
 
-def test_failed_retry_does_not_hide_a_lost_run() -> None:
-    """Guards against *not run* after an earlier run was lost."""
+@pytest.mark.parametrize(
+    ('fault', 'kind', 'reason', 'runs'),
+    [
+        ('lost', OutcomeKind.UNKNOWN, Reason.ANSWER_LOST, ['x']),
+        ('refuse', OutcomeKind.NOT_RUN, Reason.TARGET_REFUSED, []),
+    ],
+)
+def test_failed_retry_keeps_the_first_outcome(
+    fault: str, kind: OutcomeKind, reason: Reason, runs: list[str]
+) -> None:
+    """Guards against *not run* after a lost run, and a misleading reason."""
     agent = Agent(slots=1, retry_ratio=1)
-    agent.send('x', idempotent=True, query='&fault=lost')
+    agent.send('x', idempotent=True, query=f'&fault={fault}')
     agent.clock.advance(500)
-    assert agent.started() == ['x']
+    assert agent.started() == runs
     assert agent.dispatcher.budget.retries == 1
-    assert agent.outcomes['x'].kind is OutcomeKind.UNKNOWN
+    assert agent.outcomes['x'].kind is kind
+    assert agent.outcomes['x'].reason is reason
 
 
 @pytest.mark.parametrize('ratio', [0, 0.1, 0.5])
--- a/tests/outcomes/test_handover.py
+++ b/tests/outcomes/test_handover.py
@@ -419,6 +419,20 @@
     assert 5 <= budget.retries <= 10
 
 
+def test_refused_retry_does_not_hide_a_lost_run() -> None:
+    """Guards against *not run* when the second of two runs was refused."""
+    fleet = _fleet(limits=Limits(slots=1, retry_ratio=1))
+    fleet.agents[1].target.kill()
+    exchange = fleet.agents[0].send(
+        _request(fleet, 'x', idempotent=True, query='&fault=lost')
+    )
+    fleet.clock.advance(3000)
+    assert fleet.agents[0].dispatcher.budget.retries == 1
+    assert fleet.ledger.starts()['x'] == 1
+    assert exchange.outcome is not None
+    assert exchange.outcome.kind is OutcomeKind.UNKNOWN
+
+
 class Script:
     """Faults and requests in the order that hypothesis chooses."""
 
--- a/tests/outcomes/test_request_handler.py
+++ b/tests/outcomes/test_request_handler.py
@@ -99,6 +99,7 @@
         (Outcome.not_run(Reason.OVERLOADED, 'x', 1400), 503, 'not-run', '2'),
         (Outcome.not_run(Reason.DRAINING, 'x'), 503, 'not-run', None),
         (Outcome.not_run(Reason.KEY_EXPIRED, 'x'), 422, 'not-run', None),
+        (Outcome.unknown(Reason.KEY_EXPIRED, 'x'), 502, 'unknown', None),
         (LOST, 502, 'unknown', None),
     ],
 )
