--- a/anvilthread/outcomes/handover/handover_client.py
+++ b/anvilthread/outcomes/handover/handover_client.py
@@ -16,7 +16,6 @@
 from anvilthread.outcomes.handover.peer_place import PeerPlace
 from anvilthread.outcomes.handover.peers import Peers
 from anvilthread.outcomes.outcome import Outcome
-from anvilthread.outcomes.reason import Reason
 from anvilthread.outcomes.request import Request
 from anvilthread.outcomes.single_answer import SingleAnswer
 
@@ -62,14 +61,14 @@
         Returns:
             The open offers.
         """
-        left_ms = request.deadline_ms - self._clock.now_ms()
-        offers = [
-            OpenOffer(agent=agent, channel=self._node.connect(agent), wake=wake)
-            for agent in self._choose(request.service, excluded)
-        ]
         return OpenOffers(
-            offers=offers,
-            message=Offer(left_ms, request.stream),
+            clock=self._clock,
+            agents=self._choose(request.service, excluded),
+            settings=self._settings,
+            connect=lambda agent: OpenOffer(
+                agent=agent, channel=self._node.connect(agent), wake=wake
+            ),
+            message=lambda: self._message(request),
             place=self._place,
         )
 
@@ -79,15 +78,12 @@
         """Lets the owner of an execution key decide."""
         channel = self._node.connect(owner)
         try:
-            outcome = self._ask(channel, owner, request, answer)
+            return self._ask(channel, owner, request, answer)
         except ChannelLostError:
+            # This attempt did not run, but an earlier one may have.
             return key_refusals.owner_unreachable()
         finally:
             channel.cancel()
-        if outcome.reason is Reason.PEER_UNREACHABLE:
-            # This attempt may not have run, but an earlier one may have.
-            return key_refusals.owner_unreachable()
-        return outcome
 
     def _ask(
         self,
@@ -96,9 +92,9 @@
         request: Request,
         answer: SingleAnswer,
     ) -> Outcome:
-        left_ms = request.deadline_ms - self._clock.now_ms()
-        channel.put(Offer(left_ms, request.stream, decide=True))
-        message = channel.get(left_ms, request.cancelled)
+        offer = self._message(request, decide=True)
+        channel.put(offer)
+        message = channel.get(offer.left_ms, request.cancelled)
         if isinstance(message, Refused):
             return message.outcome
         if not isinstance(message, Reserved):
@@ -111,6 +107,10 @@
         )
         return place.run_late(request, answer)
 
+    def _message(self, request: Request, *, decide: bool = False) -> Offer:
+        left_ms = request.deadline_ms - self._clock.now_ms()
+        return Offer(left_ms, request.stream, decide)
+
     def _choose(
         self, service: int, excluded: Collection[Address]
     ) -> list[Address]:
