--- a/anvilthread/routing/admission_bound.py
+++ b/anvilthread/routing/admission_bound.py
@@ -18,6 +18,8 @@
 #: Peers whose reports an agent keeps.
 DEFAULT_CAPACITY: Final = 16
 
+_REFRESH_MS: Final = 50
+
 
 class AdmissionBound:
     """Decides whether an agent accepts a first packet.
@@ -35,7 +37,16 @@
         capacity: Most peers to keep.
     """
 
-    __slots__ = ('_capacity', '_clock', '_margin', '_peers', '_ratio', '_slots')
+    __slots__ = (
+        '_capacity',
+        '_clock',
+        '_levels',
+        '_levels_ms',
+        '_margin',
+        '_peers',
+        '_ratio',
+        '_slots',
+    )
 
     def __init__(
         self,
@@ -52,6 +63,8 @@
         self._margin = margin
         self._capacity = capacity
         self._peers: dict[Address, PeerLoad] = {}
+        self._levels: list[float] = []
+        self._levels_ms: int | None = None
 
     def accept(self, report: LoadReport) -> bool:
         """Takes a report of another agent of the service.
@@ -67,6 +80,7 @@
                 return False
             peer = PeerLoad()
             self._peers[report.agent] = peer
+        self._levels_ms = None
         return peer.accept(report, self._clock.now_ms())
 
     def decide(
@@ -107,20 +121,26 @@
             connections: Open connections by this agent's own count.
             warmth_percent: Progress of the target's slow start.
         """
-        now_ms = self._clock.now_ms()
-        levels = [
-            peer.level(now_ms)
-            for peer in self._peers.values()
-            if peer.is_usable(now_ms)
-        ]
+        levels = self._peer_levels()
         if not levels:
             return float('inf')
         if warmth_percent == FULL_WARMTH_PERCENT:
-            levels.append(connections / self._slots)
+            levels = [*levels, connections / self._slots]
         usual = median_high(levels) * self._slots
         usual *= warmth_percent / FULL_WARMTH_PERCENT
         return max(usual * self._ratio, usual + self._margin)
 
+    def _peer_levels(self) -> list[float]:
+        now_ms = self._clock.now_ms()
+        if self._levels_ms is None or now_ms - self._levels_ms >= _REFRESH_MS:
+            self._levels_ms = now_ms
+            self._levels = [
+                peer.level(now_ms)
+                for peer in self._peers.values()
+                if peer.is_usable(now_ms)
+            ]
+        return self._levels
+
     def _remove_silent(self) -> None:
         now_ms = self._clock.now_ms()
         self._peers = {
--- a/anvilthread/routing/agent_load.py
+++ b/anvilthread/routing/agent_load.py
@@ -95,7 +95,7 @@
             self._offset = report.received - self.sent
         confirmed = (report.received - self._offset) & _COUNTER_MASK
         if confirmed > self.sent:
-            # A restart of this balancer, or counters of an earlier life.
+            # The network may duplicate packets.
             confirmed = self.sent
             self._offset = report.received - self.sent
         lost = max(lowest - confirmed, 0)
--- a/anvilthread/routing/load_aware_placement.py
+++ b/anvilthread/routing/load_aware_placement.py
@@ -45,6 +45,11 @@
         self._services: dict[int, ServiceLevels] = {}
         self._refreshed_ms: dict[int, int] = {}
 
+    @property
+    def table(self) -> LoadTable:
+        """Loads of the agents."""
+        return self._table
+
     def update_balancers(self, balancers: Sequence[Address]) -> None:
         """Replaces the balancers among which large services are divided."""
         self._balancers = tuple(balancers)
--- a/tests/routing/test_load_table.py
+++ b/tests/routing/test_load_table.py
@@ -114,6 +114,17 @@
     assert table.load(AGENT).pending == 1
 
 
+def test_duplicated_packets_do_not_hide_sends() -> None:
+    """Guards against sends that look confirmed before they arrive."""
+    table = LoadTable(clock=ManualClock())
+    table.accept(_report(sequence=1, received=40))
+    table.load(AGENT).record_send(1)
+    table.accept(_report(sequence=2, received=45))
+    assert table.load(AGENT).pending == 0
+    table.load(AGENT).record_send(1)
+    assert table.load(AGENT).pending == 1
+
+
 def test_counters_wrap() -> None:
     """Guards against a jump of the load when a counter wraps."""
     clock = ManualClock()
