--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -175,6 +175,28 @@
     assert total[AGENTS[-1]] <= 1.2 * 700 / 7
 
 
+def test_silent_newcomer_does_not_catch_up() -> None:
+    """Guards against a failed newcomer that swallows most new flows.
+
+    It got fewer sends than the others before it fell silent.
+    """
+    balancer = _started(AGENTS[:6])
+    for _ in range(10):
+        balancer.place(300)
+        balancer.report(AGENTS[:6], (500,) * 6)
+    balancer.placement.update(
+        SERVICE, [Candidate(agent=agent) for agent in AGENTS]
+    )
+    balancer.report(AGENTS, (*((500,) * 6), 490))
+    for _ in range(8):
+        balancer.report(AGENTS[:6], (500,) * 6)
+    total = Counter[Address | None]()
+    for _ in range(10):
+        total += balancer.place(70)
+        balancer.report(AGENTS[:6], (500,) * 6)
+    assert total[AGENTS[-1]] <= 1.2 * 700 / 7
+
+
 def test_removed_agent_is_forgotten() -> None:
     """Guards against flows and memory for agents that have left."""
     balancer = _started(AGENTS)
