Judge drains and count only connections that clients use

A client whose first packets reached two agents leaves a half-open connection at one of them for 10 s, which load reports counted. Reports and the bound now leave out handshakes that take longer than 1 s.

--- a/anvilthread/agent/agent.py
+++ b/anvilthread/agent/agent.py
@@ -193,7 +193,7 @@
 
     def _export_load(self) -> None:
         self._metrics.set_load(
-            self._pipeline.admission.load, len(self._server.table)
+            self._pipeline.admission.load, self._server.connections
         )
 
     def _use_keys(self, _: Keys) -> None:
@@ -203,7 +203,7 @@
         )
 
     def _report_empty(self) -> None:
-        while len(self._server.table):
+        while self._server.connections:
             self._node.clock.sleep_ms(_POLL_MS)
         self._node.log.event('drain_empty', remedy='the VM can be stopped now')
 
--- a/anvilthread/agent/client_connection.py
+++ b/anvilthread/agent/client_connection.py
@@ -115,6 +115,11 @@
         """Whether the handshake is complete."""
         return self._is_established
 
+    @property
+    def opened_ms(self) -> int:
+        """Monotonic time of the first packet."""
+        return self._opened_ms
+
     @property
     def open_streams(self) -> int:
         """Number of requests in progress."""
--- a/anvilthread/agent/connection_table.py
+++ b/anvilthread/agent/connection_table.py
@@ -1,8 +1,13 @@
 """The connections of an agent by connection ID."""
 
+from typing import Final
+
 from anvilthread.address import Address
 from anvilthread.agent.client_connection import ClientConnection
 
+#: A handshake that takes longer is probably abandoned.
+_HANDSHAKE_MS: Final = 1000
+
 
 class ConnectionTable:
     """Finds connections by the IDs that either side chose.
@@ -26,6 +31,20 @@
         """Number of connections whose handshake is not complete."""
         return sum(not entry.is_established for entry in self._connections)
 
+    def count_active(self, now_ms: int) -> int:
+        """Number of connections without those that clients have abandoned.
+
+        A client whose first packets reached two agents adopts one of them;
+        at the other, the handshake stays incomplete until it times out.
+
+        Args:
+            now_ms: Monotonic time.
+        """
+        return sum(
+            entry.is_established or now_ms - entry.opened_ms < _HANDSHAKE_MS
+            for entry in self._connections
+        )
+
     def connections(self) -> list[ClientConnection]:
         """Returns every connection."""
         return list(self._connections)
--- a/anvilthread/agent/load_reporter.py
+++ b/anvilthread/agent/load_reporter.py
@@ -102,7 +102,7 @@
             agent=self._server.address,
             incarnation=self._membership.member.incarnation,
             sequence=self._sequence,
-            connections=len(self._server.table),
+            connections=self._server.connections,
             busy=load.busy,
             waiting=load.waiting,
             slots=load.slots,
--- a/anvilthread/agent/operations.py
+++ b/anvilthread/agent/operations.py
@@ -52,7 +52,7 @@
         load = self._admission.load
         return msgspec.structs.replace(
             self._node.status(),
-            connections=len(self._server.table),
+            connections=self._server.connections,
             busy=load.busy,
             waiting=load.waiting,
             slots=load.slots,
--- a/anvilthread/agent/packet_server.py
+++ b/anvilthread/agent/packet_server.py
@@ -115,6 +115,11 @@
         """The connections of this agent."""
         return self._table
 
+    @property
+    def connections(self) -> int:
+        """Number of connections that clients use."""
+        return self._table.count_active(self._clock.now_ms())
+
     @property
     def counters(self) -> PacketCounters:
         """What happened to the packets."""
@@ -197,7 +202,7 @@
             self._counters.add(PacketFate.DROPPED_NOT_INITIAL)
 
     def _admit(self, datagram: Encapsulated, connection_id: bytes) -> None:
-        match self._admission.decide(datagram, len(self._table)):
+        match self._admission.decide(datagram, self.connections):
             case FirstPacketAction.ACCEPT:
                 self._open(datagram, connection_id)
             case FirstPacketAction.PASS_ON if datagram.alternate is not None:
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -93,14 +93,14 @@
         # Long streams do not move, so evenness is judged before the changes.
         self._imbalance = max(map(_imbalance, self._clusters))
         self._at(0.25, 'killing balancer 2', self._kill_balancer)
-        self._at(0.35, 'adding balancer 4', self._add_balancer)
+        self._at(0.32, 'adding balancer 4', self._add_balancer)
+        self._at(0.42, 'taking the store down', self._stop_store)
         self._at(0.45, 'draining target 1', self._drain)
         self._at(
-            0.6, 'replacing balancer 1 and target 2 together', self._replace
+            0.55, 'replacing balancer 1 and target 2 together', self._replace
         )
-        self._at(0.7, 'applying a configuration', self._apply)
-        self._at(0.78, 'taking the store down', self._stop_store)
-        self._at(0.9, 'bringing the store back', self._start_store)
+        self._at(0.75, 'bringing the store back', self._start_store)
+        self._at(0.8, 'applying a configuration', self._apply)
 
     def _decide(self) -> Verdict:
         verdict = Verdict(
@@ -111,6 +111,8 @@
             cluster.processes.wait('load', 60)
             outcomes = verdict.add_clients(self._results(cluster))
             verdict.add_ledgers(cluster.ledgers(), outcomes)
+            for number, drained_s in cluster.drained.items():
+                verdict.add_drain(cluster.ledger(number), drained_s)
             for name in cluster.processes.failed():
                 self._say(f'{cluster.firm.name}: {name} has ended by itself')
         return verdict
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -34,7 +34,7 @@
         self._directory = directory
         self._balancers: list[int] = []
         self._targets: dict[int, tuple[Service, ...]] = {}
-        self._drained: set[int] = set()
+        self.drained: dict[int, float] = {}
         self.processes = Processes(directory=directory)
         directory.mkdir(parents=True, exist_ok=True)
 
@@ -138,7 +138,7 @@
 
     def drain_target(self, number: int) -> None:
         """Drains a target through the command line."""
-        self._drained.add(number)
+        self.drained[number] = time.monotonic()
         self.processes.call(
             'anvilthread',
             'target',
@@ -244,7 +244,7 @@
             [
                 number
                 for number, services in self._targets.items()
-                if services == pool and number not in self._drained
+                if services == pool and number not in self.drained
             ]
             for pool, _ in self.firm.pools
         ]
--- a/demo/verdict.py
+++ b/demo/verdict.py
@@ -4,13 +4,18 @@
 from collections import Counter
 from collections.abc import Iterable
 from pathlib import Path
-from typing import Final
+from typing import Any, Final
 
 import msgspec
 
 #: Longest time until a configuration is in force, in seconds.
 MAX_IN_FORCE_S: Final = 3
 
+#: Time after a drain from which nothing new may start.
+_DRAIN_LIMIT_MS: Final = 2000
+
+_MS_PER_SECOND: Final = 1000
+
 
 class Verdict(msgspec.Struct, kw_only=True):
     """Counts of one run; see docs/design.md for the guarantees.
@@ -26,6 +31,8 @@
         misrouted: Request IDs in the ledger of another service's target, and
             answers that belong to another request.
         not_run_but_run: Requests reported as not run that a target started.
+        late_starts: Requests that a target started more than 2 s after its
+            drain.
         imbalance: Largest over mean of connections at the targets of a pool.
         in_force_s: Seconds until a configuration is in force at every node.
     """
@@ -39,6 +46,7 @@
     run_twice: int = 0
     misrouted: int = 0
     not_run_but_run: int = 0
+    late_starts: int = 0
     imbalance: float = 1.0
     in_force_s: float = 0
 
@@ -50,6 +58,7 @@
             self.run_twice,
             self.misrouted,
             self.not_run_but_run,
+            self.late_starts,
         )
         in_time = self.in_force_s <= MAX_IN_FORCE_S
         return not any(violations) and in_time and self.answered > 0
@@ -81,7 +90,8 @@
         """
         starts: Counter[str] = Counter()
         for path, services in ledgers:
-            for identifier in _started(path):
+            for entry in _started(path):
+                identifier = entry['id']
                 starts[identifier] += 1
                 if identifier.rpartition('-')[0] not in services:
                     self.misrouted += 1
@@ -91,6 +101,18 @@
             for identifier, outcome in outcomes.items()
         )
 
+    def add_drain(self, ledger: Path, drained_s: float) -> None:
+        """Adds requests that started too long after a drain.
+
+        Args:
+            ledger: Ledger of the drained target.
+            drained_s: Monotonic time at which the operator asked.
+        """
+        limit_ms = drained_s * _MS_PER_SECOND + _DRAIN_LIMIT_MS
+        self.late_starts += sum(
+            entry['started'] > limit_ms for entry in _started(ledger)
+        )
+
     def line(self) -> str:
         """Returns the result as one line of key=value pairs."""
         pairs = msgspec.structs.asdict(self)
@@ -99,8 +121,8 @@
         return ' '.join(f'{key}={content}' for key, content in pairs.items())
 
 
-def _started(path: Path) -> list[str]:
+def _started(path: Path) -> list[dict[str, Any]]:
     if not path.exists():
         return []
     entries = [json.loads(line) for line in path.read_text().splitlines()]
-    return [entry['id'] for entry in entries if entry['outcome'] == 'started']
+    return [entry for entry in entries if entry['outcome'] == 'started']
