Record traces of the demonstration and replay them

The demo merges what clients, targets' ledgers and nodes' logs hold into a trace per cluster and decides it with the replay. A VM of a target is killed at the end: its clients, and no others, lose their connections.

--- a/anvilthread/agent/agent.py
+++ b/anvilthread/agent/agent.py
@@ -184,9 +184,9 @@
                 remedy='add the site to the service or drop it here',
             )
 
-    def _receive_report(self, wire: bytes) -> None:
+    def _receive_report(self, wire: bytes, sender: tuple[str, int]) -> None:
         report = self._reports.decode(wire)
-        if report is None:
+        if report is None or report.agent.endpoint != sender:
             return
         self._peers.loads.accept(report)
         self._bound.accept(report)
--- a/anvilthread/agent/load_reporter.py
+++ b/anvilthread/agent/load_reporter.py
@@ -19,10 +19,10 @@
 #: Time between two reports of one agent.
 REPORT_PERIOD_MS: Final = 1000
 
-#: Balancers up to this number all get the reports of an agent; of more, only
-#: those that place on it. It keeps the traffic of a node flat in the size of
-#: the fleet.
-_ALL_BALANCERS: Final = 16
+#: Most balancers that get the reports of an agent. It keeps the traffic of a
+#: node flat in the size of the fleet. Rendezvous hashing chooses them, so they
+#: include the ones that place on an agent of a large service.
+_BALANCERS: Final = 16
 
 #: Peers that get the reports of an agent.
 _PEERS: Final = 4
@@ -80,10 +80,8 @@
             self._send(services[0], receiver)
 
     def _receivers(self) -> list[Address]:
-        live = list(self._balancers.live_balancers())
-        if len(live) <= _ALL_BALANCERS:
-            return live
-        return carriers(self._server.address, live)
+        live = self._balancers.live_balancers()
+        return carriers(self._server.address, live, _BALANCERS)
 
     def _peer_receivers(self, services: list[int]) -> list[Address]:
         peers = [
--- a/anvilthread/agent/packet_server.py
+++ b/anvilthread/agent/packet_server.py
@@ -39,7 +39,7 @@
 #: first packets cannot exhaust the memory of a small VM.
 _MAX_HALF_OPEN: Final = 4096
 
-SendAnswer = Callable[[ClientConnection, bytes, Address], None]
+OnReport = Callable[[bytes, tuple[str, int]], None]
 
 
 class PacketServer:
@@ -55,7 +55,7 @@
         balancers: The balancers believed to be alive.
         admission: Decides about first packets.
         handler: Answers requests.
-        on_report: Called with the load reports that other agents send.
+        on_report: Called with each load report of a peer and its sender.
         on_opened: Called when a connection begins.
         on_closed: Called when a connection has ended.
     """
@@ -90,7 +90,7 @@
         balancers: Balancers,
         admission: ConnectionAdmission,
         handler: StreamHandler,
-        on_report: Callable[[bytes], None] = lambda _: None,
+        on_report: OnReport = lambda *_: None,
         on_opened: Callable[[ClientConnection], None] = lambda _: None,
         on_closed: Callable[[ClientConnection], None] = lambda _: None,
     ) -> None:
@@ -158,13 +158,13 @@
         except OSError:
             self._counters.add(PacketFate.DROPPED_UNREACHABLE)
 
-    def _receive(self, wire: bytes, _: tuple[str, int]) -> None:
+    def _receive(self, wire: bytes, sender: tuple[str, int]) -> None:
         datagram = self._encapsulation.decode(wire)
         if datagram is None:
             self._counters.add(PacketFate.DROPPED_FORGED)
             return
         if datagram.kind is DatagramKind.REPORT:
-            self._on_report(datagram.payload)
+            self._on_report(datagram.payload, sender)
             return
         if datagram.service not in self.services:
             self._counters.add(PacketFate.DROPPED_WRONG_SERVICE)
--- a/anvilthread/balancer/balancer.py
+++ b/anvilthread/balancer/balancer.py
@@ -88,9 +88,9 @@
             on_report=self._receive_report,
         )
 
-    def _receive_report(self, wire: bytes) -> None:
+    def _receive_report(self, wire: bytes, sender: tuple[str, int]) -> None:
         report = self._reports.decode(wire)
-        if report is not None:
+        if report is not None and report.agent.endpoint == sender:
             self._loads.accept(report)
 
     def _use_keys(self, _: Keys) -> None:
--- a/anvilthread/balancer/forwarder.py
+++ b/anvilthread/balancer/forwarder.py
@@ -28,6 +28,8 @@
 from anvilthread.transport.udp_socket import bind_udp, receive_all
 
 _ADDRESS: Final = slice(2, 8)
+OnReport = Callable[[bytes, tuple[str, int]], None]
+
 _FORWARD: Final = int(DatagramKind.FORWARD)
 
 
@@ -40,7 +42,7 @@
         encapsulation: Codec of the datagrams to and from agents.
         placer: Chooses agents for first packets.
         agents: Agents whose connections are known to be lost.
-        on_report: Called with the load reports that agents send.
+        on_report: Called with each load report and its sender.
     """
 
     __slots__ = (
@@ -65,7 +67,7 @@
         encapsulation: EncapsulationCodec,
         placer: ConnectionPlacer,
         agents: Agents,
-        on_report: Callable[[bytes], None] = lambda _: None,
+        on_report: OnReport = lambda *_: None,
     ) -> None:
         self.address = address
         self._packed = address.pack()
@@ -197,13 +199,13 @@
         listener.send(reset, sender)
         self._counters.add(PacketFate.RESET)
 
-    def _receive_answer(self, wire: bytes, _: tuple[str, int]) -> None:
+    def _receive_answer(self, wire: bytes, sender: tuple[str, int]) -> None:
         datagram = self._encapsulation.decode(wire)
         if datagram is None:
             self._counters.add(PacketFate.DROPPED_FORGED)
             return
         if datagram.kind is DatagramKind.REPORT:
-            self._on_report(datagram.payload)
+            self._on_report(datagram.payload, sender)
             return
         listener = self._listeners.get(datagram.service_address)
         if listener is None or listener.service != datagram.service:
--- a/anvilthread/configuration/store_watcher.py
+++ b/anvilthread/configuration/store_watcher.py
@@ -22,8 +22,8 @@
 _RECHECK_MS: Final = 2000
 _FIRST_RETRY_MS: Final = 250
 #: After an outage a change still has to be in force within 3 s, and a few
-#: watchers per site that retry every 2 s are a small load.
-_LONGEST_RETRY_MS: Final = 2000
+#: watchers per site that retry every second are a small load.
+_LONGEST_RETRY_MS: Final = 1000
 
 Receiver = Callable[[ConfigurationRecord, str], None]
 
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -10,6 +10,8 @@
 
 import typer
 
+from anvilthread.reports.replay import ALL_GUARANTEES, replay
+from anvilthread.reports.trace_file import read_trace
 from demo.cluster import Cluster
 from demo.firm import FIRMS
 from demo.verdict import Verdict
@@ -86,6 +88,8 @@
             str(self._seconds),
             '--out',
             str(self._results(cluster)),
+            '--keys',
+            str(cluster.keys),
         )
 
     def _change(self) -> None:
@@ -101,6 +105,7 @@
         )
         self._at(0.75, 'bringing the store back', self._start_store)
         self._at(0.8, 'applying a configuration', self._apply)
+        self._at(0.9, 'killing the VM of target 3', self._kill_target)
 
     def _decide(self) -> Verdict:
         verdict = Verdict(
@@ -113,10 +118,22 @@
             verdict.add_ledgers(cluster.ledgers(), outcomes)
             for number, drained_s in cluster.drained.items():
                 verdict.add_drain(cluster.ledger(number), drained_s)
+            self._replay(cluster, verdict)
             for name in cluster.processes.failed():
                 self._say(f'{cluster.firm.name}: {name} has ended by itself')
         return verdict
 
+    def _replay(self, cluster: Cluster, verdict: Verdict) -> None:
+        path = cluster.record(self._results(cluster))
+        verdict.learn_s = max(verdict.learn_s, cluster.trace.reset_delay_s())
+        lost = cluster.trace.count_lost()
+        verdict.broken -= lost
+        verdict.lost_with_target += lost
+        for found in replay(read_trace(path).unwrap(), ALL_GUARANTEES):
+            verdict.violated += bool(found.violations)
+            for violation in found.violations[:3]:
+                self._say(f'{cluster.firm.name}: {found.name}: {violation.text}')
+
     def _kill_balancer(self, cluster: Cluster) -> None:
         cluster.kill_balancer(2)
         # The fabric notices later than the balancer dies.
@@ -140,6 +157,9 @@
         elapsed_s = cluster.apply(deadline_ms=9000)
         self._in_force_s = max(self._in_force_s, elapsed_s)
 
+    def _kill_target(self, cluster: Cluster) -> None:
+        cluster.kill_target(3)
+
     def _stop_store(self, cluster: Cluster) -> None:
         cluster.set_store(outage=True)
 
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -10,6 +10,7 @@
 from anvilthread.address import Address
 from demo.firm import Firm, Service
 from demo.processes import Processes
+from demo.trace import Trace
 
 _CONTROL: Final = 7946
 _REQUEST: Final = 7947
@@ -33,9 +34,11 @@
         self.firm = firm
         self._directory = directory
         self._balancers: list[int] = []
+        self._revision = 0
         self._targets: dict[int, tuple[Service, ...]] = {}
         self.drained: dict[int, float] = {}
         self.processes = Processes(directory=directory)
+        self.trace = Trace()
         directory.mkdir(parents=True, exist_ok=True)
 
     @property
@@ -90,12 +93,14 @@
     def kill_balancer(self, number: int) -> None:
         """Kills a balancer; the fabric goes on sending to it."""
         self.processes.kill(f'balancer-{number}')
+        self.trace.add('node_stopped', f'balancer-{number}', planned=False)
         self._balancers.remove(number)
 
     def withdraw_balancer(self, number: int) -> None:
         """Takes a balancer out of the fabric and stops it."""
         self._balancers.remove(number)
         self.update_fabric()
+        self.trace.add('stop_started', f'balancer-{number}')
         self.processes.stop(f'balancer-{number}')
 
     def update_fabric(self, **changes: object) -> None:
@@ -139,6 +144,7 @@
     def drain_target(self, number: int) -> None:
         """Drains a target through the command line."""
         self.drained[number] = time.monotonic()
+        self.trace.add('drain_started', f'agent-{number}')
         self.processes.call(
             'anvilthread',
             'target',
@@ -150,8 +156,10 @@
 
     def kill_target(self, number: int) -> None:
         """Kills a target and its agent, as the loss of their VM does."""
+        self.trace.add('node_stopped', f'agent-{number}', planned=False)
         self.processes.kill(f'agent-{number}')
         self.processes.kill(f'target-{number}')
+        self.drained[number] = time.monotonic()
 
     def set_store(self, **faults: object) -> None:
         """Switches faults of the store."""
@@ -191,6 +199,10 @@
             'demo',
         )
         applied_s = time.monotonic()
+        self._revision += 1
+        self.trace.add(
+            'configuration_accepted', 'operator', revision=self._revision
+        )
         for kind, numbers in ((1, self._balancers), (2, self._live_targets())):
             for number in numbers:
                 self._wait_revision(kind, number)
@@ -230,6 +242,17 @@
         """Ledger of a target."""
         return self._directory / f'ledger-{number}.jsonl'
 
+    def record(self, results: Path) -> Path:
+        """Writes the trace of the whole run and returns its path."""
+        self.trace.add_clients(json.loads(results.read_text())['trace'])
+        for number in self._targets:
+            self.trace.add_ledger(self.ledger(number), f'agent-{number}')
+        for log in self._directory.glob('*-*.log'):
+            self.trace.add_log(log)
+        path = self._directory / 'trace.jsonl'
+        self.trace.write(path)
+        return path
+
     def ledgers(self) -> list[tuple[Path, frozenset[str]]]:
         """Ledger of every target with the names of its services."""
         found = []
--- a/demo/verdict.py
+++ b/demo/verdict.py
@@ -11,6 +11,9 @@
 #: Longest time until a configuration is in force, in seconds.
 MAX_IN_FORCE_S: Final = 3
 
+#: Longest time until clients learn of the loss of their target, in seconds.
+MAX_LEARN_S: Final = 2
+
 #: Time after a drain from which nothing new may start.
 _DRAIN_LIMIT_MS: Final = 2000
 
@@ -23,6 +26,7 @@
     Args:
         connections: Connections that clients opened.
         broken: Connections that ended without the client's wish.
+        lost_with_target: Connections that ended with a killed target.
         requests: Requests that clients sent.
         answered: Requests with the target's answer.
         not_run: Requests reported as not run.
@@ -34,11 +38,15 @@
         late_starts: Requests that a target started more than 2 s after its
             drain.
         imbalance: Largest over mean of connections at the targets of a pool.
+        violated: Guarantees that the replay of the traces found violated.
+        learn_s: Seconds from the kill of a target's VM until the last of its
+            clients learned of it.
         in_force_s: Seconds until a configuration is in force at every node.
     """
 
     connections: int = 0
     broken: int = 0
+    lost_with_target: int = 0
     requests: int = 0
     answered: int = 0
     not_run: int = 0
@@ -48,19 +56,24 @@
     not_run_but_run: int = 0
     late_starts: int = 0
     imbalance: float = 1.0
+    violated: int = 0
+    learn_s: float = 0
     in_force_s: float = 0
 
     @property
     def holds(self) -> bool:
         """Whether every guarantee was kept."""
         violations = (
+            self.violated,
             self.broken,
             self.run_twice,
             self.misrouted,
             self.not_run_but_run,
             self.late_starts,
         )
-        in_time = self.in_force_s <= MAX_IN_FORCE_S
+        in_time = (
+            self.in_force_s <= MAX_IN_FORCE_S and self.learn_s <= MAX_LEARN_S
+        )
         return not any(violations) and in_time and self.answered > 0
 
     def add_clients(self, results: Path) -> dict[str, str]:
@@ -117,6 +130,7 @@
         """Returns the result as one line of key=value pairs."""
         pairs = msgspec.structs.asdict(self)
         pairs['imbalance'] = f'{self.imbalance:.3f}'
+        pairs['learn_s'] = f'{self.learn_s:.2f}'
         pairs['in_force_s'] = f'{self.in_force_s:.2f}'
         return ' '.join(f'{key}={content}' for key, content in pairs.items())
 
--- a/standins/load.py
+++ b/standins/load.py
@@ -16,7 +16,9 @@
 
 from anvilthread.address import Address
 from anvilthread.clock import SystemClock
+from anvilthread.settings import KeyFile
 from standins.client import Client
+from standins.load_trace import LoadTrace
 from standins.picture import picture
 from standins.response import Response
 
@@ -33,6 +35,7 @@
         random: Source of pauses.
         counts: Results, shared by the services of a process.
         outcomes: Outcome by request ID, shared likewise.
+        trace: Records events for a replay.
     """
 
     def __init__(
@@ -43,6 +46,7 @@
         random: Random,
         counts: Counter[str],
         outcomes: dict[str, str],
+        trace: LoadTrace,
     ) -> None:
         self._clock = SystemClock()
         self._service = service
@@ -50,6 +54,7 @@
         self._random = random
         self._counts = counts
         self._outcomes = outcomes
+        self._trace = trace
         self._number = 0
         self._running = True
         self.reasons: Counter[str] = Counter()
@@ -59,7 +64,20 @@
         self._running = False
 
     def hold_stream(self) -> None:
-        """Keeps one stream open and counts it if it breaks."""
+        """Keeps one stream open; opens another one if it breaks."""
+        while self._running:
+            self._hold_one()
+
+    def send_requests(self) -> None:
+        """Sends one request after the other on one connection."""
+        while self._running:
+            client = self._connect()
+            while client is not None and self._is_open(client):
+                self._send_one(client)
+                gevent.sleep(self._random.uniform(0.1, 0.4))
+            self._close(client)
+
+    def _hold_one(self) -> None:
         client = self._connect()
         if client is None:
             return
@@ -69,32 +87,33 @@
             headers=[('accept', 'text/event-stream')],
             keep=False,
         )
-        while self._running and not response.ended.is_set():
+        while self._is_open(client) and not response.ended.is_set():
             gevent.sleep(0.1)
-        if response.ended.is_set():
-            self._broken(response.failure or f'status {response.status}')
-        client.close()
+        if response.ended.is_set() and client.end_reason is None:
+            self._broken(f'stream ended, status {response.status}')
+        self._close(client)
 
-    def send_requests(self) -> None:
-        """Sends one request after the other on one connection."""
-        client = self._connect()
-        while self._running and client is not None:
-            self._send_one(client)
-            gevent.sleep(self._random.uniform(0.1, 0.4))
-            if client.end_reason is not None:
-                self._broken(client.end_reason)
-                client = self._connect()
-        if client is not None:
-            client.close()
+    def _is_open(self, client: Client) -> bool:
+        return self._running and client.end_reason is None
 
     def _connect(self) -> Client | None:
         client = Client(clock=self._clock, service_address=self._address)
         self._counts['connections'] += 1
         if client.connect():
+            self._trace.opened(client, self._service)
             return client
         self._broken('no handshake')
+        client.close()
         return None
 
+    def _close(self, client: Client | None) -> None:
+        if client is None:
+            return
+        client.close()
+        self._trace.closed(client, self._service)
+        if client.is_broken:
+            self._broken(client.end_reason or '')
+
     def _send_one(self, client: Client) -> None:
         choice = self._random.random()
         if choice < 0.1:
@@ -105,6 +124,7 @@
         headers = []
         if choice < 0.5:
             headers = self._execution_key(client)
+        self._trace.started(client, self._service, identifier)
         response = self._run(client, identifier, headers)
         if headers and response.outcome != 'answered':
             # The same key may be repeated, whatever the first outcome was.
@@ -132,9 +152,11 @@
             outcome = 'unknown'
         self._counts[outcome] += 1
         self._outcomes[identifier] = outcome
-        answered = outcome == 'answered'
-        if answered and identifier not in response.body.decode():
-            self._counts['mixed_up'] += 1
+        content = None
+        if outcome == 'answered':
+            content = json.loads(response.body).get('id')
+            self._counts['mixed_up'] += content != identifier
+        self._trace.ended(self._service, identifier, outcome, content)
 
     def _fetch_picture(self, client: Client) -> None:
         seed = self._random.randrange(1000)
@@ -163,11 +185,13 @@
     clients: Annotated[int, typer.Option(help='Requesters a service.')],
     seconds: Annotated[float, typer.Option(help='Time of the load.')],
     out: Annotated[Path, typer.Option(help='JSON file of the results.')],
+    keys: Annotated[Path, typer.Option(help='Key file of the cluster.')],
     seed: Annotated[int, typer.Option(help='Seed of the pauses.')] = 1,
 ) -> None:
     """Runs clients for a while and writes what they saw."""
     counts: Counter[str] = Counter()
     outcomes: dict[str, str] = {}
+    trace = LoadTrace(keys=KeyFile(path=keys).load().unwrap())
     loads = []
     tasks: list[gevent.Greenlet] = []
     for index, text in enumerate(service):
@@ -178,6 +202,7 @@
             random=Random(seed + index),
             counts=counts,
             outcomes=outcomes,
+            trace=trace,
         )
         loads.append(load)
         tasks.extend(gevent.spawn(load.hold_stream) for _ in range(streams))
@@ -190,7 +215,14 @@
     for load in loads:
         reasons.update(load.reasons)
     out.write_text(
-        json.dumps({'counts': counts, 'outcomes': outcomes, 'reasons': reasons})
+        json.dumps(
+            {
+                'counts': counts,
+                'outcomes': outcomes,
+                'reasons': reasons,
+                'trace': trace.events,
+            }
+        )
     )
 
 
