--- a/tests/routing/test_admission_bound.py
+++ b/tests/routing/test_admission_bound.py
@@ -49,6 +49,7 @@
         # One peer that reports zero does not lower the bound.
         ((2000,) * 5 + (0,), 2000, ACCEPT),
         ((2000, 0), 2000, ACCEPT),
+        ((0,), 2000, ACCEPT),
         ((2000, 2000), 2100, PASS_ON),
         # A herd toward this agent is passed on although a peer lags.
         ((1600,) * 6, 2000, PASS_ON),
