Give targets without slots no new connections

Cause: membership may show an agent with 0 slots; a weight of 0 raised ZeroDivisionError in the load-aware placement.

Change: candidates with a weight of 0 or less are left out by all policies, and the admission bound counts at least one slot. The test of unusable candidates has a row for it, which failed without the filter.

Conclusion: placement returns no decision for such a service.

--- a/anvilthread/routing/admission_bound.py
+++ b/anvilthread/routing/admission_bound.py
@@ -58,7 +58,7 @@
         capacity: int = DEFAULT_CAPACITY,
     ) -> None:
         self._clock = clock
-        self._slots = slots
+        self._slots = max(slots, 1)
         self._ratio = ratio
         self._margin = margin
         self._capacity = capacity
--- a/anvilthread/routing/candidate.py
+++ b/anvilthread/routing/candidate.py
@@ -14,7 +14,7 @@
         agent: Data address of the agent.
         incarnation: Incarnation of the agent.
         weight: Share of the load relative to other candidates, for example
-            the number of slots; above 0.
+            the number of slots; 0 for no new connections.
         site: Site of the agent.
         cold: Whether the target is known to be in its slow start. A load
             report overrides it.
@@ -29,6 +29,13 @@
     draining: bool = False
 
 
-def not_draining(candidates: Iterable[Candidate]) -> list[Candidate]:
-    """Returns the candidates that take new connections."""
-    return [candidate for candidate in candidates if not candidate.draining]
+def takes_new(candidates: Iterable[Candidate]) -> list[Candidate]:
+    """Returns the candidates that take new connections.
+
+    A weight of 0 or less stands for a target without slots.
+    """
+    return [
+        candidate
+        for candidate in candidates
+        if candidate.weight > 0 and not candidate.draining
+    ]
--- a/anvilthread/routing/least_loaded_placement.py
+++ b/anvilthread/routing/least_loaded_placement.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from anvilthread.routing.candidate import Candidate, not_draining
+from anvilthread.routing.candidate import Candidate, takes_new
 from anvilthread.routing.load_table import LoadTable
 from anvilthread.routing.placement_decision import PlacementDecision
 
@@ -22,7 +22,7 @@
 
     def update(self, service: int, candidates: Sequence[Candidate]) -> None:
         """Replaces the candidates of a service."""
-        self._services[service] = not_draining(candidates)
+        self._services[service] = takes_new(candidates)
 
     def place(self, service: int, flow_key: bytes) -> PlacementDecision | None:
         """Chooses the two candidates with the lowest reports."""
--- a/anvilthread/routing/random_placement.py
+++ b/anvilthread/routing/random_placement.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from random import Random
 
-from anvilthread.routing.candidate import Candidate, not_draining
+from anvilthread.routing.candidate import Candidate, takes_new
 from anvilthread.routing.placement_decision import PlacementDecision
 
 
@@ -22,7 +22,7 @@
 
     def update(self, service: int, candidates: Sequence[Candidate]) -> None:
         """Replaces the candidates of a service."""
-        self._services[service] = not_draining(candidates)
+        self._services[service] = takes_new(candidates)
 
     def place(self, service: int, flow_key: bytes) -> PlacementDecision | None:
         """Chooses an agent and another one as the alternate."""
--- a/anvilthread/routing/rendezvous_placement.py
+++ b/anvilthread/routing/rendezvous_placement.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from anvilthread.routing.candidate import Candidate, not_draining
+from anvilthread.routing.candidate import Candidate, takes_new
 from anvilthread.routing.placement_decision import PlacementDecision
 from anvilthread.routing.rendezvous import best_two, hash_address, hash_key
 
@@ -29,7 +29,7 @@
 
     def update(self, service: int, candidates: Sequence[Candidate]) -> None:
         """Replaces the candidates of a service."""
-        usable = not_draining(candidates)
+        usable = takes_new(candidates)
         self._services[service] = _Service(
             candidates=usable,
             node_hashes=[hash_address(entry.agent) for entry in usable],
--- a/anvilthread/routing/service_levels.py
+++ b/anvilthread/routing/service_levels.py
@@ -9,7 +9,7 @@
 
 from anvilthread.address import Address
 from anvilthread.routing.agent_load import AgentLoad
-from anvilthread.routing.candidate import Candidate, not_draining
+from anvilthread.routing.candidate import Candidate, takes_new
 from anvilthread.routing.load_report import FULL_WARMTH_PERCENT
 from anvilthread.routing.load_table import LoadTable
 from anvilthread.routing.rendezvous import best_two, hash_address
@@ -76,7 +76,7 @@
     ) -> None:
         self._candidates = [
             (candidate, hash_address(candidate.agent))
-            for candidate in not_draining(candidates)
+            for candidate in takes_new(candidates)
         ]
         self._table = table
         #: Candidates that take new connections.
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -65,12 +65,20 @@
 
 
 @pytest.mark.parametrize('policy', POLICIES)
-@pytest.mark.parametrize('known', [False, True])
-def test_no_usable_candidate(policy: str, known: bool) -> None:
+@pytest.mark.parametrize(
+    'candidates',
+    [
+        (),
+        (Candidate(agent=AGENTS[0], draining=True),),
+        (Candidate(agent=AGENTS[0], weight=0),),
+    ],
+)
+def test_no_usable_candidate(
+    policy: str, candidates: tuple[Candidate, ...]
+) -> None:
     """Guards against a failure, or a draining agent, without candidates."""
     placement = _policy(policy)
-    if known:
-        placement.update(SERVICE, [Candidate(agent=AGENTS[0], draining=True)])
+    placement.update(SERVICE, candidates)
     assert placement.place(SERVICE, b'flow') is None
     placement.update(SERVICE, [])
     assert placement.place(SERVICE, b'flow') is None
