Restore contact with a site when nobody else is left in it

The only survivor of a site kept the site as unreachable, and itself out of its live queries, because no other member could answer it any more.

--- a/anvilthread/membership/ticker.py
+++ b/anvilthread/membership/ticker.py
@@ -107,7 +107,11 @@
         for site in context.contact.take_wanted():
             pool = context.table.index.site(site)
             drawn = pool.sample(context.random, _SITE_CHECKS + 1)
-            for address in self._others(drawn)[:_SITE_CHECKS]:
+            others = self._others(drawn)[:_SITE_CHECKS]
+            if not others:
+                # Nobody is left whose answer could restore contact.
+                context.table.sites.change(site, reachable=True)
+            for address in others:
                 member = context.table.get(address)
                 if member is not None:
                     self._pinger.ping(member)
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -20,6 +20,10 @@
 _TAG_BYTES: Final = 8
 _KILL_LIMIT_MS: Final = 5000
 _KILL_STEP_MS: Final = 25
+_REPLACED_SIZE: Final = 60
+_REPLACEMENTS: Final = 8
+_REPLACE_EVERY_MS: Final = 2500
+_SETTLE_MS: Final = 10_000
 
 
 def run() -> None:
@@ -29,6 +33,7 @@
     span = _SIZES[-1] - _SIZES[0]
     slope = (rates[-1] - rates[0]) / span
     print(f'slope {slope:.3f} B/s per node from {_SIZES[0]} to {_SIZES[-1]}')
+    _measure_replacements()
     _measure_memory()
 
 
@@ -77,6 +82,27 @@
     return None
 
 
+def _measure_replacements() -> None:
+    """Prints the traffic while VMs are killed and replaced."""
+    cluster = MembershipCluster(seed=1, sites=_SITES)
+    cluster.add_all(_REPLACED_SIZE, settle_ms=_SETTLE_MS)
+    network = cluster.network
+    sent, messages = network.bytes_sent, network.messages
+    for number in range(_REPLACEMENTS):
+        cluster.kill(number + 3)
+        cluster.add(number + _REPLACED_SIZE)
+        cluster.clock.advance(_REPLACE_EVERY_MS)
+    messages = network.messages - messages
+    sent = network.bytes_sent - sent + messages * _TAG_BYTES
+    seconds = _REPLACEMENTS * _REPLACE_EVERY_MS / _MS_PER_SECOND
+    rate = sent / seconds / _REPLACED_SIZE
+    print(
+        f'nodes={_REPLACED_SIZE} replaced_every_ms={_REPLACE_EVERY_MS}'
+        f' bytes_per_s={rate:.0f}',
+    )
+    cluster.stop()
+
+
 def _measure_memory() -> None:
     cluster = MembershipCluster(seed=0, sites=_SITES)
     tracemalloc.start()
--- a/tests/membership/test_partitions.py
+++ b/tests/membership/test_partitions.py
@@ -183,3 +183,23 @@
         assert dead.state == MemberState.DEAD
         assert not each.node.site_in_contact('f')
     cluster.stop()
+
+
+def test_last_member_of_a_site_finds_it_reachable() -> None:
+    """Guards against a site that stays out of reach for its only survivor."""
+    cluster = MembershipCluster(seed=6, sites=('site-a', 'site-b'))
+    cluster.add_all(6)
+    others = [it for it in cluster.nodes if it]
+    cluster.cut(others, [0])
+    cluster.clock.advance(600)
+    cluster.kill(2)
+    cluster.kill(4)
+    cluster.clock.advance(3000)
+    assert 'site-a' not in cluster.nodes[0].node.table.sites
+    cluster.network.heal()
+    cluster.clock.advance(8000)
+    for number in (2, 4):
+        assert set(cluster.states(number).values()) == {MemberState.DEAD}
+    for each in cluster.nodes.values():
+        assert 'site-a' in each.node.table.sites
+    cluster.stop()
