--- a/tests/configuration/test_configuration_node.py
+++ b/tests/configuration/test_configuration_node.py
@@ -86,6 +86,9 @@
         store.reachable = False
     applied = fleet.apply(proposal(deadline_ms=2, expected=1)).unwrap()
     next(iter(fleet.nodes.values())).offer(applied.record, 'command')
+    fleet.clock.advance(50)
+    told = [node for node in fleet.nodes.values() if node.revision == 2]
+    assert len(told) > len(fleet.nodes) // 2
     fleet.clock.advance(_TARGET_MS)
     assert fleet.revisions() == {2}
 
