Let a notice end the pause of a node without a revision

Cause: a node that holds no record fetches from random peers. Peers that hold nothing answered with a notice that the fetch did not take for an answer, so each attempt ran into its timeout of 1 s, and the pause of up to 2 s after it was not ended by the notice of a new revision. Ruled out: the store's outage and lost messages. A notice from the asked peer now answers the fetch, and any newer revision ends the pause.

--- a/anvilthread/configuration/spreader.py
+++ b/anvilthread/configuration/spreader.py
@@ -69,6 +69,7 @@
         self._sources = RevisionSources()
         self._wake = Event()
         self._answered = Event()
+        self._asked: Address | None = None
         self._malformed = 0
 
     @property
@@ -108,13 +109,16 @@
             most_ms=_LONGEST_RETRY_MS,
         )
         while True:
+            self._wake.clear()
             source = self._next_source()
             if source is None:
                 self._pause()
             elif self._fetch(source):
                 backoff.reset()
             else:
-                self._clock.sleep_ms(backoff.next_ms())
+                # A notice of a revision ends the pause: the next attempt then
+                # has a source that is known to hold it.
+                self._clock.wait(self._wake, backoff.next_ms())
 
     def _handle(self, sender: Address, message: Message) -> None:
         own = self._holder.revision
@@ -126,6 +130,9 @@
             self._send(sender, Notice(revision=own))
         else:
             self.peer_revision(sender, message.revision)
+            if sender == self._asked:
+                # A peer that holds nothing newer answers a fetch in this way.
+                self._answered.set()
 
     def _answer(self, sender: Address, revision: int) -> None:
         if revision >= self._holder.revision:
@@ -156,6 +163,7 @@
 
     def _fetch(self, source: Address) -> bool:
         before = self._holder.revision
+        self._asked = source
         self._answered.clear()
         self._send(source, Fetch(revision=before))
         limit_ms = _DELTA_TIMEOUT_MS if before else _WHOLE_TIMEOUT_MS
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -113,7 +113,8 @@
         )
         self._wait_until(1)
         for cluster in self._clusters:
-            cluster.processes.wait('load', 60)
+            if cluster.processes.wait('load', 60):
+                raise RuntimeError(f'the load of {cluster.firm.name} failed')
             outcomes = verdict.add_clients(self._results(cluster))
             verdict.add_ledgers(cluster.ledgers(), outcomes)
             for number, drained_s in cluster.drained.items():
@@ -132,7 +133,9 @@
         for found in replay(read_trace(path).unwrap(), ALL_GUARANTEES):
             verdict.violated += bool(found.violations)
             for violation in found.violations[:3]:
-                self._say(f'{cluster.firm.name}: {found.name}: {violation.text}')
+                self._say(
+                    f'{cluster.firm.name}: {found.name}: line {violation.line}: {violation.reason}'
+                )
 
     def _kill_balancer(self, cluster: Cluster) -> None:
         cluster.kill_balancer(2)
--- a/standins/load.py
+++ b/standins/load.py
@@ -154,7 +154,7 @@
         self._outcomes[identifier] = outcome
         content = None
         if outcome == 'answered':
-            content = json.loads(response.body).get('id')
+            content = response.body.decode().removeprefix('ran ')
             self._counts['mixed_up'] += content != identifier
         self._trace.ended(self._service, identifier, outcome, content)
 
@@ -210,7 +210,7 @@
     gevent.sleep(seconds)
     for load in loads:
         load.stop()
-    gevent.joinall(tasks, timeout=30)
+    gevent.joinall(tasks, timeout=30, raise_error=True)
     reasons: Counter[str] = Counter()
     for load in loads:
         reasons.update(load.reasons)
