Test the comparison of revisions apart from other ways of spreading

The rare reads of the store and the notices hid a missing comparison with random peers. The notices are now lost, and only watchers reach the store.

--- a/tests/configuration/test_configuration_node.py
+++ b/tests/configuration/test_configuration_node.py
@@ -117,7 +117,14 @@
 def test_spread_without_membership(fleet: Fleet) -> None:
     """Guards against nodes that no notice reaches and nobody probes."""
     fleet.stop_probes()
+    chosen = _watchers(fleet)
+    for address, store in fleet.stores.items():
+        store.reachable = address in chosen
+    fleet.network.loss = 1
     fleet.apply(proposal(deadline_ms=2, expected=1)).unwrap()
+    fleet.clock.advance(1000)
+    assert fleet.revisions() == {1, 2}
+    fleet.network.loss = 0
     fleet.clock.advance(180_000)
     assert fleet.revisions() == {2}
 
