Report closed connections and requests in the terms of the burn report

The metrics of an agent named reasons and outcomes in other words than the burn report reads, so it found nothing. A stop waited for its deadline twice: once for streams and once for runs; it now waits once. Latencies leave out streams. The demo saves scrapes for a burn report.

--- a/anvilthread/agent/agent.py
+++ b/anvilthread/agent/agent.py
@@ -33,7 +33,7 @@
 _IDLE_TIMEOUT_S: Final = 60
 _WINDOW: Final = 1 << 20
 _POLL_MS: Final = 100
-_CLOSE_MS: Final = 200
+_FLUSH_MS: Final = 200
 
 
 class Agent:
@@ -210,12 +210,15 @@
     def _stop(self) -> None:
         self.drain('stop')
         end_ms = self._node.clock.now_ms() + self._settings.stop_deadline_ms
+        interrupted = self._pipeline.admission.stop()
+        # Requests that run at another agent hold no slot here.
         while self._open_streams() and self._node.clock.now_ms() < end_ms:
             self._node.clock.sleep_ms(_POLL_MS)
-        interrupted = self._pipeline.admission.stop()
+        # Answers that have just ended still have to reach their clients.
+        self._node.clock.sleep_ms(_FLUSH_MS)
         for connection in self._server.table.connections():
             connection.close('agent stopped')
-        self._node.clock.sleep_ms(_CLOSE_MS)
+        self._node.clock.sleep_ms(_FLUSH_MS)
         self._node.log.event('agent_stopped', interrupted=interrupted)
         self._node.finish()
 
--- a/anvilthread/agent/agent_metrics.py
+++ b/anvilthread/agent/agent_metrics.py
@@ -5,11 +5,19 @@
 from anvilthread.admission import Load
 from anvilthread.agent.client_connection import ClientConnection
 from anvilthread.daemon.configuration_view import ConfigurationView
-from anvilthread.outcomes import Outcome
+from anvilthread.outcomes import Outcome, OutcomeKind
+from anvilthread.reports.connection_events import CloseReason
+from anvilthread.reports.request_events import RecordedOutcome
 from anvilthread.telemetry import Metrics
 
 _MS_PER_SECOND: Final = 1000
 
+_RECORDED: Final = {
+    OutcomeKind.ANSWERED: RecordedOutcome.ANSWERED,
+    OutcomeKind.NOT_RUN: RecordedOutcome.NOT_RUN,
+    OutcomeKind.UNKNOWN: RecordedOutcome.UNKNOWN,
+}
+
 
 class AgentMetrics:
     """Counts connections and requests by service.
@@ -49,7 +57,7 @@
         )
         self._latency = metrics.histogram(
             'anvilthread_request_latency_seconds',
-            'Time from the request to the end of its answer.',
+            'Time from a request to the end of its answer; streams left out.',
             labels=('service',),
         )
         self._open = metrics.gauge(
@@ -70,16 +78,27 @@
         """Counts a connection that has ended."""
         self._closed.series(
             service=self._name(connection.service),
-            reason=connection.termination or 'failed',
+            reason=connection.termination or CloseReason.PROTOCOL_ERROR,
         ).add(1)
 
     def request_ended(
-        self, service: int, outcome: Outcome, latency_ms: int
+        self, service: int, outcome: Outcome, latency_ms: int | None
     ) -> None:
-        """Counts a request."""
+        """Counts a request.
+
+        Args:
+            service: Number of the service.
+            outcome: What the client was told.
+            latency_ms: Time to the end of the answer; None for a stream,
+                whose length says nothing about the service.
+        """
         name = self._name(service)
-        self._requests.series(service=name, outcome=str(outcome.kind)).add(1)
-        self._latency.series(service=name).observe(latency_ms / _MS_PER_SECOND)
+        recorded = _RECORDED[outcome.kind]
+        self._requests.series(service=name, outcome=recorded).add(1)
+        answered = outcome.kind is OutcomeKind.ANSWERED
+        if answered and latency_ms is not None:
+            latency = self._latency.series(service=name)
+            latency.observe(latency_ms / _MS_PER_SECOND)
 
     def set_load(self, load: Load, connections: int) -> None:
         """Sets the gauges."""
--- a/anvilthread/agent/client_connection.py
+++ b/anvilthread/agent/client_connection.py
@@ -12,10 +12,12 @@
 
 from anvilthread.address import Address
 from anvilthread.agent.answer_path import AnswerPath
+from anvilthread.agent.close_reason import close_reason
 from anvilthread.agent.h3_stream import H3Stream
 from anvilthread.agent.routable_quic import RoutableQuic
 from anvilthread.agent.stream_handler import StreamHandler
 from anvilthread.clock import Clock
+from anvilthread.reports.connection_events import CloseReason
 from anvilthread.routing.encapsulated import Encapsulated
 
 #: Packets kept for a connection task that is behind; more are dropped, as a
@@ -52,6 +54,7 @@
         '_handler',
         '_http',
         '_inbox',
+        '_is_closing',
         '_is_established',
         '_next_keepalive_ms',
         '_on_retired',
@@ -91,7 +94,8 @@
         self._streams: dict[int, H3Stream] = {}
         self._wake = Event()
         self._is_established = False
-        self._termination: str | None = None
+        self._termination: CloseReason | None = None
+        self._is_closing = False
         self._opened_ms = clock.now_ms()
         self._next_keepalive_ms = self._opened_ms + _KEEPALIVE_MS
 
@@ -126,7 +130,7 @@
         return len(self._streams)
 
     @property
-    def termination(self) -> str | None:
+    def termination(self) -> CloseReason | None:
         """Why the connection ended; None while it is open."""
         return self._termination
 
@@ -180,7 +184,7 @@
         now_ms = self._clock.now_ms()
         handshake_ms = now_ms - self._opened_ms
         if not self._is_established and handshake_ms > _HANDSHAKE_TIMEOUT_MS:
-            self._termination = 'handshake_timeout'
+            self._termination = CloseReason.SUPERSEDED
         if self._streams and now_ms >= self._next_keepalive_ms:
             self._next_keepalive_ms = now_ms + _KEEPALIVE_MS
             self._quic.send_ping(uid=0)
@@ -209,8 +213,10 @@
                 self._cancel_stream(stream_id)
             case events.StopSendingReceived(stream_id=stream_id):
                 self._cancel_stream(stream_id)
-            case events.ConnectionTerminated(reason_phrase=reason):
-                self._termination = reason or 'closed'
+            case events.ConnectionTerminated():
+                self._termination = close_reason(
+                    event, is_closing=self._is_closing
+                )
 
     def _handle_http_event(self, event: H3Event) -> None:
         if isinstance(event, HeadersReceived):
--- a/anvilthread/agent/request_streams.py
+++ b/anvilthread/agent/request_streams.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from result import Err
+from result import Err, Result
 
 from anvilthread.agent.h3_stream import H3Stream
 from anvilthread.agent.stream_body import StreamBody
@@ -13,11 +13,12 @@
     ClientGoneError,
     Outcome,
     Reason,
+    Request,
     RequestClassifier,
     RequestHandler,
 )
 
-OnEnded = Callable[[int, Outcome, int], None]
+OnEnded = Callable[[int, Outcome, int | None], None]
 
 #: Headers of one hop, and those that the agent sets itself.
 _DROPPED: Final = frozenset(('connection', 'host', 'te', 'transfer-encoding'))
@@ -30,7 +31,8 @@
         clock: Clock of the latencies.
         classifier: Builds requests by the rules of their service.
         handler: Runs requests.
-        on_ended: Called with service, outcome and latency in ms.
+        on_ended: Called with service, outcome and latency in ms, or None
+            instead of the latency of a stream.
     """
 
     __slots__ = ('_classifier', '_clock', '_handler', '_on_ended')
@@ -52,18 +54,25 @@
         """Answers one request; runs in a task of its own."""
         started_ms = self._clock.now_ms()
         responder = StreamResponder(stream=stream)
-        outcome = self._run(stream, service, responder)
-        self._on_ended(service, outcome, self._clock.now_ms() - started_ms)
-
-    def _run(
-        self, stream: H3Stream, service: int, responder: StreamResponder
-    ) -> Outcome:
+        classified = self._classify(stream, service)
+        if isinstance(classified, Err):
+            _refuse(responder, classified.err_value)
+            self._on_ended(service, classified.err_value, None)
+            return
+        request = classified.ok_value
+        outcome = self._handler.handle(request, responder)
+        latency_ms = self._clock.now_ms() - started_ms
+        self._on_ended(service, outcome, None if request.stream else latency_ms)
+
+    def _classify(
+        self, stream: H3Stream, service: int
+    ) -> Result[Request, Outcome]:
         pseudo, headers = _split(stream)
         method = pseudo.get(':method', '')
         path = pseudo.get(':path', '')
         if not method or not path.startswith('/'):
-            return _refuse(responder, _malformed())
-        classified = self._classifier.classify(
+            return Err(_malformed())
+        return self._classifier.classify(
             service=service,
             method=method,
             path=path,
@@ -71,9 +80,6 @@
             body=StreamBody(stream=stream, length=_length(headers)),
             cancelled=stream.cancelled,
         )
-        if isinstance(classified, Err):
-            return _refuse(responder, classified.err_value)
-        return self._handler.handle(classified.ok_value, responder)
 
 
 def _split(stream: H3Stream) -> tuple[dict[str, str], list[tuple[str, str]]]:
@@ -103,10 +109,9 @@
     )
 
 
-def _refuse(responder: StreamResponder, outcome: Outcome) -> Outcome:
+def _refuse(responder: StreamResponder, outcome: Outcome) -> None:
     try:
         responder.fail(outcome)
     except ClientGoneError:
         # The client no longer waits for the refusal.
-        return outcome
-    return outcome
+        return
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -96,6 +96,7 @@
         self._wait_until(0.2)
         # Long streams do not move, so evenness is judged before the changes.
         self._imbalance = max(map(_imbalance, self._clusters))
+        self._scrape()
         self._at(0.25, 'killing balancer 2', self._kill_balancer)
         self._at(0.32, 'adding balancer 4', self._add_balancer)
         self._at(0.42, 'taking the store down', self._stop_store)
@@ -169,6 +170,10 @@
     def _start_store(self, cluster: Cluster) -> None:
         cluster.set_store(outage=False)
 
+    def _scrape(self) -> None:
+        for cluster in self._clusters:
+            cluster.scrape()
+
     def _at(
         self, share: float, text: str, change: Callable[[Cluster], None]
     ) -> None:
@@ -176,6 +181,7 @@
         self._say(text)
         with ThreadPoolExecutor() as pool:
             list(pool.map(change, self._clusters))
+        self._scrape()
 
     def _wait_until(self, share: float) -> None:
         due_s = self._started_s + share * self._seconds
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -284,6 +284,17 @@
             if name.startswith('agent-')
         )
 
+    def scrape(self) -> None:
+        """Saves the metrics of every node for a burn report."""
+        directory = self._directory / 'scrapes'
+        directory.mkdir(exist_ok=True)
+        now_ms = int(time.time() * 1000)
+        for number in self._live_targets():
+            url = f'http://{self.firm.ip(2, number)}:{_METRICS}/metrics'
+            path = directory / f'agent-{number}@{now_ms}.prom'
+            with urlopen(url, timeout=5) as answer:
+                path.write_bytes(answer.read())
+
     def _wait_revision(self, kind: int, number: int) -> None:
         name = 'anvilthread_configuration_revision'
         for _ in range(300):
