Reload every kind of key while a node runs

SIGHUP replaced only the keys of connection IDs and encapsulation; CURVE keys, control datagrams and execution keys needed a restart, which ends an agent's connections. All of them are now replaced in place. A ZeroMQ socket listens with the key that it was bound with, so the listener is bound again; its old port is released by another thread, and binding at once failed with 'Address already in use' in the new test.

--- a/anvilthread/agent/agent.py
+++ b/anvilthread/agent/agent.py
@@ -196,7 +196,8 @@
             self._pipeline.admission.load, self._server.connections
         )
 
-    def _use_keys(self, _: Keys) -> None:
+    def _use_keys(self, keys: Keys) -> None:
+        self._pipeline.use_keys(keys)
         self._server.use_keys(
             self._node.connection_id_codec(),
             self._node.encapsulation_codec(),
--- a/anvilthread/agent/request_pipeline.py
+++ b/anvilthread/agent/request_pipeline.py
@@ -16,7 +16,7 @@
 from anvilthread.outcomes.key_issuer import KeyIssuer
 from anvilthread.outcomes.key_sealer import KeySealer
 from anvilthread.outcomes.keyed_runner import KeyedRunner
-from anvilthread.settings import AgentSettings
+from anvilthread.settings import AgentSettings, Keys
 from anvilthread.target import HttpEdge
 from anvilthread.transport import ChannelName
 
@@ -30,7 +30,7 @@
         peers: Other agents of the services.
     """
 
-    __slots__ = ('_handover', '_server', 'admission', 'handler')
+    __slots__ = ('_handover', '_sealer', '_server', 'admission', 'handler')
 
     def __init__(
         self, *, node: Node, settings: AgentSettings, peers: MemberPeers
@@ -64,13 +64,13 @@
             edge=HttpEdge(clock=node.clock, target=settings.target),
             source=client,
         )
-        sealer = KeySealer(
+        self._sealer = KeySealer(
             keys=node.keys.execution.keys, active=node.keys.execution.active
         )
         keyed = KeyedRunner(
             clock=node.clock,
             identity=identity,
-            sealer=sealer,
+            sealer=self._sealer,
             table=ExecutionTable(
                 clock=node.clock,
                 max_bytes=settings.kept_answer_bytes,
@@ -89,13 +89,18 @@
         issuer = KeyIssuer(
             clock=node.clock,
             identity=identity,
-            sealer=sealer,
+            sealer=self._sealer,
             lifetime_ms=settings.kept_answer_ms,
         )
         self.handler = RequestHandler(
             runner=KeyEndpoint(issuer=issuer, runner=keyed)
         )
 
+    def use_keys(self, keys: Keys) -> None:
+        """Replaces the keys that seal execution keys."""
+        ring = keys.execution
+        self._sealer.use_keys(keys=ring.keys, active=ring.active)
+
     def run(self) -> None:
         """Serves handovers of other agents until the process ends."""
         self._handover.serve(self._server.serve)
--- a/anvilthread/daemon/node.py
+++ b/anvilthread/daemon/node.py
@@ -87,8 +87,16 @@
         # Nothing is kept on disk, so wall-clock time makes a new process at
         # the same address newer than the one before it.
         self.incarnation = self.clock.wall_ms() // _MS_PER_SECOND
+        self._control = UdpTransport(
+            address=settings.control, keys=self.keys.datagram.ordered
+        )
+        self._requests = ZmqTransport(
+            address=settings.request,
+            keys=_curve_pairs(self.keys),
+            clock=self.clock,
+        )
         self.membership = self._join(slots)
-        self.channels = self._open_channels()
+        self.channels = Channels(transport=self._requests)
 
     @property
     def settings(self) -> NodeSettings:
@@ -203,24 +211,12 @@
         return MembershipNode(
             clock=self.clock,
             random=self.random,
-            transport=UdpTransport(
-                address=settings.control, keys=self.keys.datagram.ordered
-            ),
+            transport=self._control,
             member=member,
             seeds=tuple(settings.seeds),
             settings=MembershipSettings(),
         )
 
-    def _open_channels(self) -> Channels:
-        pairs = tuple(
-            CurveKeyPair(public=pair.public, secret=pair.secret)
-            for pair in self.keys.curve.ordered
-        )
-        transport = ZmqTransport(
-            address=self._settings.request, keys=pairs, clock=self.clock
-        )
-        return Channels(transport=transport)
-
     def _report_health(self) -> None:
         self.health.report(
             'membership_synchronised', holds=self.membership.is_synchronised
@@ -239,6 +235,8 @@
             self.log.warning('key_reload_failed', error=str(loaded.err_value))
             return
         self.keys = loaded.ok_value
+        self._control.use_keys(self.keys.datagram.ordered)
+        self._requests.use_keys(_curve_pairs(self.keys))
         for listener in self._on_keys:
             listener(self.keys)
         self.log.event(
@@ -263,6 +261,13 @@
             run()
 
 
+def _curve_pairs(keys: Keys) -> tuple[CurveKeyPair, ...]:
+    return tuple(
+        CurveKeyPair(public=pair.public, secret=pair.secret)
+        for pair in keys.curve.ordered
+    )
+
+
 def _load(key_file: KeyFile) -> Keys:
     loaded = key_file.load()
     if isinstance(loaded, Err):
--- a/anvilthread/transport/key_verifier.py
+++ b/anvilthread/transport/key_verifier.py
@@ -42,6 +42,11 @@
             domain=_DOMAIN, credentials_provider=self
         )
 
+    def use_keys(self, keys: tuple[CurveKeyPair, ...]) -> None:
+        """Replaces the accepted keys; open connections stay open."""
+        self._accepted = frozenset(pair.public for pair in keys)
+        self._logged.clear()
+
     def callback(self, domain: str, key: bytes) -> bool:
         """Tells whether a client's public key is accepted."""
         accepted = key in self._accepted
--- a/anvilthread/transport/zmq_transport.py
+++ b/anvilthread/transport/zmq_transport.py
@@ -24,6 +24,9 @@
 #: Each peer takes a DEALER and the two ends of its monitor.
 _MAX_SOCKETS: Final = 4 * _MAX_PEERS
 
+_BIND_ATTEMPTS: Final = 100
+_BIND_RETRY_MS: Final = 10
+
 
 class TransportBindError(AnvilthreadError):
     """The address of the node cannot be bound."""
@@ -57,11 +60,7 @@
         idle_ms: int = _IDLE_MS,
         queue_limit: int = _QUEUE_LIMIT,
     ) -> None:
-        if not keys:
-            raise CurveKeyError(
-                reason='there is no CURVE key pair',
-                remedy='give every node the same pair in its settings',
-            )
+        _check_keys(keys)
         self._keys = keys
         self._clock = clock
         self._idle_ms = idle_ms
@@ -73,11 +72,14 @@
         self._malformed = 0
         self._context = zmq.Context()
         self._context.max_sockets = _MAX_SOCKETS
-        verifier = KeyVerifier(context=self._context, keys=keys)
+        self._verifier = KeyVerifier(context=self._context, keys=keys)
         self._router = self._context.socket(zmq.ROUTER)
         self._configure_router()
         self._address = self._bind(address)
-        self._tasks = [gevent.spawn(verifier.run), gevent.spawn(self._read)]
+        self._tasks = [
+            gevent.spawn(self._verifier.run),
+            gevent.spawn(self._read),
+        ]
 
     @property
     def address(self) -> Address:
@@ -99,6 +101,29 @@
         """Number of messages dropped because they were malformed."""
         return self._malformed
 
+    def use_keys(self, keys: tuple[CurveKeyPair, ...]) -> None:
+        """Replaces the key pairs, the current one first.
+
+        Peers connect with the new keys from now on. Messages that wait for a
+        connection are lost, as any message may be.
+
+        Raises:
+            CurveKeyError: If there is no key pair.
+            TransportBindError: If another process has taken the address.
+        """
+        _check_keys(keys)
+        self._keys = keys
+        self._verifier.use_keys(keys)
+        endpoint = self._router.getsockopt_string(zmq.LAST_ENDPOINT)
+        # A listening socket keeps the key that it was bound with; accepted
+        # connections survive the change.
+        self._router.unbind(endpoint)
+        self._set_router_keys()
+        self._bind_again(endpoint)
+        for peer in list(self._peers.values()):
+            peer.close()
+        self._peers.clear()
+
     def send(self, address: Address, payload: bytes) -> None:
         """Sends without blocking; a message that cannot be sent is lost."""
         if len(payload) > MAX_MESSAGE_SIZE:
@@ -122,16 +147,19 @@
         self._context.destroy(linger=0)
 
     def _configure_router(self) -> None:
-        current = self._keys[0]
         self._router.setsockopt(zmq.LINGER, 0)
         self._router.setsockopt(zmq.RCVHWM, self._queue_limit)
         self._router.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_SIZE)
         # A restarted peer connects with the routing ID of its old connection.
         self._router.setsockopt(zmq.ROUTER_HANDOVER, 1)
         self._router.setsockopt(zmq.CURVE_SERVER, 1)
+        self._router.setsockopt(zmq.ZAP_DOMAIN, KeyVerifier.domain)
+        self._set_router_keys()
+
+    def _set_router_keys(self) -> None:
+        current = self._keys[0]
         self._router.setsockopt(zmq.CURVE_PUBLICKEY, current.public)
         self._router.setsockopt(zmq.CURVE_SECRETKEY, current.secret)
-        self._router.setsockopt(zmq.ZAP_DOMAIN, KeyVerifier.domain)
 
     def _bind(self, address: Address) -> Address:
         try:
@@ -146,6 +174,20 @@
         port = int(endpoint.rpartition(':')[2])
         return Address(host=address.host, port=port)
 
+    def _bind_again(self, endpoint: str) -> None:
+        # The library closes the listening socket in a thread of its own.
+        for _ in range(_BIND_ATTEMPTS):
+            try:
+                self._router.bind(endpoint)
+            except zmq.ZMQError:
+                self._clock.sleep_ms(_BIND_RETRY_MS)
+            else:
+                return
+        raise TransportBindError(
+            reason=f'cannot bind {endpoint} again',
+            remedy='restart this node; another process may use its address',
+        )
+
     def _open(self, address: Address) -> ZmqPeer:
         if len(self._peers) >= _MAX_PEERS:
             least_recent = next(iter(self._peers))
@@ -181,6 +223,14 @@
                 self._inbox.put(received)
 
 
+def _check_keys(keys: tuple[CurveKeyPair, ...]) -> None:
+    if not keys:
+        raise CurveKeyError(
+            reason='there is no CURVE key pair',
+            remedy='give every node the same pair in its settings',
+        )
+
+
 def _decode(frames: list[bytes]) -> Received | None:
     sender, *body = frames
     if len(sender) != Address.packed_size or len(body) != 1:
