--- a/anvilthread/membership/suspicion_monitor.py
+++ b/anvilthread/membership/suspicion_monitor.py
@@ -45,6 +45,9 @@
             context.updater.declare_dead(member)
             context.outbox.spread()
         else:
+            # The site may be lost; what its return shows must not complete
+            # a suspicion from before. Another probe has to fail first.
+            suspicion.restart(now_ms)
             context.contact.want(member.site)
 
     def _ask(self, member: Member, suspicion: Suspicion) -> None:
--- a/tests/membership/test_partitions.py
+++ b/tests/membership/test_partitions.py
@@ -70,6 +70,21 @@
     cluster.stop()
 
 
+@pytest.mark.parametrize('seed', [1, 2, 14])
+def test_returning_site_brings_no_deaths(seed: int) -> None:
+    """Guards against suspicions from the start of a cut that end with it."""
+    cluster = MembershipCluster(seed=seed, sites=_SITES, loss=0.02)
+    cluster.add_all(21)
+    inside = cluster.numbers('site-b')
+    cluster.cut([it for it in cluster.nodes if it not in inside], inside)
+    cluster.clock.advance(5000)
+    cluster.network.heal()
+    for _ in range(30):
+        cluster.clock.advance(100)
+        assert _all_states(cluster) <= _LOCAL_STATES
+    cluster.stop()
+
+
 @pytest.mark.parametrize('count', [6, 21])
 def test_contact_ends_before_a_death_could(count: int) -> None:
     """Guards against contact that outlives the loss of a whole site."""
