Apply the configured limits at agents

The configuration's queue limit, retry share and connection limit were checked and spread, but no daemon read them. Agents now apply the strictest of their services. An apply whose answer was lost exits as unanswered, not as refused. benchmarks.routing runs to its end again; it lacked the service address of datagrams.

--- a/anvilthread/admission/admission.py
+++ b/anvilthread/admission/admission.py
@@ -69,6 +69,15 @@
             streams=self._streams.busy,
         )
 
+    def use_limits(self, limits: Limits) -> None:
+        """Replaces the limits of queue, retries and times.
+
+        Waiting requests stay when the queue gets shorter. The numbers of
+        slots and streams do not change.
+        """
+        self._limits = limits
+        self._scheduler.use_limits(limits)
+
     def enter(
         self, *, deadline_ms: int, stream: bool, own: bool, wake: Event
     ) -> Result[Waiter, Outcome]:
--- a/anvilthread/admission/deadline_queue.py
+++ b/anvilthread/admission/deadline_queue.py
@@ -33,6 +33,10 @@
         """Number of waiting requests of this agent's clients."""
         return self._own
 
+    def use_limit(self, limit: int) -> None:
+        """Replaces the limit; what waits stays."""
+        self._limit = limit
+
     def own_before(self, deadline_ms: int) -> int:
         """Number of own waiters that are served before a new deadline."""
         end = bisect_right(self._waiters, deadline_ms, key=_deadline)
--- a/anvilthread/admission/retry_budget.py
+++ b/anvilthread/admission/retry_budget.py
@@ -32,6 +32,10 @@
         """Number of retries so far."""
         return self._retries
 
+    def use_ratio(self, ratio: float) -> None:
+        """Replaces the retries per request."""
+        self._ratio = ratio
+
     def record(self) -> None:
         """Counts a request."""
         self._requests += 1
--- a/anvilthread/admission/scheduler.py
+++ b/anvilthread/admission/scheduler.py
@@ -51,6 +51,11 @@
         """Number of waiting requests of this agent's clients."""
         return self._queue.own
 
+    def use_limits(self, limits: Limits) -> None:
+        """Replaces the limits of the queue; slots stay as they are."""
+        self._limits = limits
+        self._queue.use_limit(limits.queue)
+
     def enter(self, waiter: Waiter) -> Result[Waiter, Outcome]:
         """Gives a waiter a free slot or queues it, unless it is too late."""
         if not len(self._queue):
--- a/anvilthread/agent/agent.py
+++ b/anvilthread/agent/agent.py
@@ -17,6 +17,7 @@
 from anvilthread.agent.request_pipeline import RequestPipeline
 from anvilthread.agent.request_streams import RequestStreams
 from anvilthread.configuration.configuration import Configuration
+from anvilthread.configuration.limits import Limits
 from anvilthread.configuration.service import Service
 from anvilthread.daemon.configuration_task import ConfigurationTask
 from anvilthread.daemon.node import Node
@@ -29,7 +30,6 @@
 from anvilthread.routing.slow_start import SlowStart
 from anvilthread.settings import AgentSettings, Keys
 
-_MAX_CONNECTIONS: Final = 20_000
 _IDLE_TIMEOUT_S: Final = 60
 _WINDOW: Final = 1 << 20
 _POLL_MS: Final = 100
@@ -48,6 +48,8 @@
     """
 
     __slots__ = (
+        '_balancers',
+        '_bound',
         '_decisions',
         '_metrics',
         '_node',
@@ -57,8 +59,6 @@
         '_rules',
         '_server',
         '_settings',
-        '_bound',
-        '_balancers',
     )
 
     def __init__(self, *, settings: AgentSettings) -> None:
@@ -81,7 +81,7 @@
             slow_start=SlowStart(clock=node.clock),
             admission=self._pipeline.admission,
             peers=self._peers,
-            max_connections=_MAX_CONNECTIONS,
+            max_connections=Limits().connections,
         )
         self._server = self._build_server()
 
@@ -173,6 +173,8 @@
             {service.number: service for service in served.values()}
         )
         self._server.services = frozenset(self._rules)
+        self._decisions.max_connections = configuration.limits.connections
+        self._pipeline.use_services(served.values())
         self._node.membership.describe(
             services=tuple(sorted(self._rules)), slots=self._settings.slots
         )
--- a/anvilthread/agent/agent_admission.py
+++ b/anvilthread/agent/agent_admission.py
@@ -25,10 +25,10 @@
     __slots__ = (
         '_admission',
         '_bound',
-        '_max_connections',
         '_peers',
         '_slow_start',
         'accepted',
+        'max_connections',
         'placed',
         'received',
     )
@@ -46,7 +46,7 @@
         self._slow_start = slow_start
         self._admission = admission
         self._peers = peers
-        self._max_connections = max_connections
+        self.max_connections = max_connections
         self.accepted = 0
         self.placed = 0
         self.received: Counter[Address] = Counter()
@@ -74,7 +74,7 @@
             warmth_percent=self.warmth_percent,
         )
         if action is FirstPacketAction.ACCEPT:
-            if connections >= self._max_connections:
+            if connections >= self.max_connections:
                 return FirstPacketAction.DROP
             self.accepted += 1
         return action
--- a/anvilthread/agent/request_pipeline.py
+++ b/anvilthread/agent/request_pipeline.py
@@ -1,7 +1,13 @@
 """The parts that decide about requests, wired for one agent."""
 
+from collections.abc import Collection
+from typing import Final
+
+import msgspec
+
 from anvilthread.admission import Admission, Dispatcher, Limits
 from anvilthread.agent.member_peers import MemberPeers
+from anvilthread.configuration import Service
 from anvilthread.daemon.node import Node
 from anvilthread.outcomes import RequestHandler
 from anvilthread.outcomes.agent_identity import AgentIdentity
@@ -20,6 +26,8 @@
 from anvilthread.target import HttpEdge
 from anvilthread.transport import ChannelName
 
+_PERCENT: Final = 100
+
 
 class RequestPipeline:
     """Admission, execution keys, handover and the target's edge.
@@ -30,11 +38,20 @@
         peers: Other agents of the services.
     """
 
-    __slots__ = ('_handover', '_sealer', '_server', 'admission', 'handler')
+    __slots__ = (
+        '_dispatcher',
+        '_handover',
+        '_queue_length',
+        '_sealer',
+        '_server',
+        'admission',
+        'handler',
+    )
 
     def __init__(
         self, *, node: Node, settings: AgentSettings, peers: MemberPeers
     ) -> None:
+        self._queue_length = settings.queue_length
         limits = Limits(
             slots=settings.slots,
             queue=settings.queue_length,
@@ -58,7 +75,7 @@
             peers=peers,
             settings=handover,
         )
-        dispatcher = Dispatcher(
+        self._dispatcher = Dispatcher(
             clock=node.clock,
             admission=self.admission,
             edge=HttpEdge(clock=node.clock, target=settings.target),
@@ -76,14 +93,14 @@
                 max_bytes=settings.kept_answer_bytes,
                 retention_ms=settings.kept_answer_ms,
             ),
-            runner=dispatcher,
+            runner=self._dispatcher,
             owners=client,
         )
         self._server = HandoverServer(
             clock=node.clock,
             settings=handover,
             admission=self.admission,
-            dispatcher=dispatcher,
+            dispatcher=self._dispatcher,
             owner=keyed,
         )
         issuer = KeyIssuer(
@@ -101,6 +118,25 @@
         ring = keys.execution
         self._sealer.use_keys(keys=ring.keys, active=ring.active)
 
+    def use_services(self, services: Collection[Service]) -> None:
+        """Applies the strictest limits of the services that are served.
+
+        Services of one target share its queue and its retry budget.
+        """
+        if not services:
+            return
+        limits = msgspec.structs.replace(
+            self.admission.limits,
+            queue=min(
+                self._queue_length,
+                *(service.queue_limit for service in services),
+            ),
+            retry_ratio=min(service.retry_percent for service in services)
+            / _PERCENT,
+        )
+        self.admission.use_limits(limits)
+        self._dispatcher.budget.use_ratio(limits.retry_ratio)
+
     def run(self) -> None:
         """Serves handovers of other agents until the process ends."""
         self._handover.serve(self._server.serve)
--- a/anvilthread/commands/config_commands.py
+++ b/anvilthread/commands/config_commands.py
@@ -6,6 +6,7 @@
 from typing import Annotated, Final, TypeAlias
 
 import typer
+from result import Result
 
 from anvilthread.address import Address
 from anvilthread.commands import connections
@@ -20,6 +21,11 @@
     parse_address,
 )
 from anvilthread.commands.output import print_json, print_pairs, print_table
+from anvilthread.configuration.apply_error import (
+    ApplyUnavailable,
+    ApplyUnknown,
+)
+from anvilthread.error import AnvilthreadError
 from anvilthread.operation import OperationClient
 
 config_app: Final = typer.Typer(
@@ -127,10 +133,8 @@
     gateway = connections.open_configuration(
         store, partial(_node_revision, node, keys)
     )
-    applied = require(
-        gateway.apply(directory, operator=operator, revision=revision),
-        ExitCode.REFUSED,
-    )
+    outcome = gateway.apply(directory, operator=operator, revision=revision)
+    applied = require(outcome, _apply_exit_code(outcome))
     if as_json:
         print_json(applied)
     else:
@@ -176,6 +180,13 @@
         )
 
 
+def _apply_exit_code(outcome: Result[object, AnvilthreadError]) -> ExitCode:
+    # A change whose answer was lost may be in force, so it was not refused.
+    if isinstance(outcome.err(), ApplyUnknown | ApplyUnavailable):
+        return ExitCode.NO_ANSWER
+    return ExitCode.REFUSED
+
+
 def _node_revision(node: Address | None, keys: Path | None) -> int:
     if node is None or keys is None:
         return 0
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -229,6 +229,7 @@
     return _TAGS.encode_raw(
         kind=DatagramKind.FORWARD,
         service=1,
+        service_address=_PACKED,
         client=_PACKED,
         balancer=_PACKED,
         payload=packet,
@@ -240,6 +241,7 @@
     return Encapsulated(
         kind=DatagramKind.FORWARD,
         service=1,
+        service_address=address,
         client=address,
         balancer=address,
         payload=packet,
--- /dev/null
+++ b/tests/commands/test_apply_exit_code.py
@@ -0,0 +1,28 @@
+"""Exit codes of an apply that did not succeed."""
+
+import pytest
+from result import Err
+
+from anvilthread.commands import config_commands
+from anvilthread.commands.exit_code import ExitCode
+from anvilthread.configuration.apply_error import (
+    ApplyRefused,
+    ApplyUnavailable,
+    ApplyUnknown,
+)
+from anvilthread.error import AnvilthreadError
+
+
+@pytest.mark.parametrize(
+    ('error', 'code'),
+    [
+        (ApplyRefused(reason='r', remedy='m'), ExitCode.REFUSED),
+        (ApplyUnavailable(reason='r'), ExitCode.NO_ANSWER),
+        (ApplyUnknown(change_id='c', reason='r'), ExitCode.NO_ANSWER),
+    ],
+)
+def test_only_a_refusal_says_refused(
+    error: AnvilthreadError, code: ExitCode
+) -> None:
+    """Guards against a change in force that a script takes for refused."""
+    assert config_commands._apply_exit_code(Err(error)) == code
