--- a/benchmarks/handshakes.py
+++ b/benchmarks/handshakes.py
@@ -374,7 +374,6 @@
     known = agent.server.table.connections()
     assert len(known) == connections
     assert all(one.is_established for one in known)
-    gc.collect()
 
 
 def _print_slope(name: str, sizes: Sequence[int], memory: list[int]) -> None:
@@ -388,6 +387,7 @@
 
 
 def _resident() -> int:
+    gc.collect()
     pages = int(Path('/proc/self/statm').read_text().split()[1])
     return pages * resource.getpagesize()
 
