--- a/anvilthread/balancer/listeners.py
+++ b/anvilthread/balancer/listeners.py
@@ -37,8 +37,9 @@
             if wanted.get(address) != listener.service:
                 self._forwarder.remove_listener(address)
                 self._node.log.event('listener_closed', address=address)
+        still_open = self._forwarder.listeners
         for address, number in wanted.items():
-            if address not in self._forwarder.listeners:
+            if address not in still_open:
                 self._open(address, number)
 
     def _open(self, address: Address, number: int) -> None:
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -5,10 +5,12 @@
 from collections.abc import Callable, Sequence
 from statistics import linear_regression
 from time import process_time
+from types import SimpleNamespace
 from typing import Final
 
 from anvilthread.address import Address
 from anvilthread.agent.member_balancers import MemberBalancers
+from anvilthread.balancer.listeners import Listeners
 from anvilthread.clock import SystemClock
 from anvilthread.membership import Member, MemberTable, Role
 from anvilthread.routing.candidate import Candidate
@@ -23,12 +25,29 @@
 _SERVICE_AGENTS: Final = 84
 _CLUSTER_SIZES: Final = (8, 16, 32, 64)
 _CLUSTER_SECONDS: Final = 10
+_SERVICE_ADDRESSES: Final = (1000, 10_000)
 _SERVICES: Final = 500
 _KIB: Final = 1024
 _MS: Final = 1000
 _OWN: Final = Address(host='192.0.2.1', port=7001)
 
 
+class OpenListeners:
+    """Hands out copies of the listeners, as a forwarder does.
+
+    Args:
+        listeners: Listeners by service address.
+    """
+
+    def __init__(self, listeners: dict[Address, SimpleNamespace]) -> None:
+        self._listeners = listeners
+
+    @property
+    def listeners(self) -> dict[Address, SimpleNamespace]:
+        """A copy."""
+        return dict(self._listeners)
+
+
 class View:
     """The part of a membership node that balancers are read from.
 
@@ -45,6 +64,7 @@
     _measure_table()
     _measure_rebuild()
     _measure_receivers()
+    _measure_listeners()
     _measure_messages()
 
 
@@ -119,6 +139,29 @@
         print(f'agent, {name}: {slope * _MS * _MS:.2f} us per balancer')
 
 
+def _measure_listeners() -> None:
+    """What a balancer compares when a configuration changes no address."""
+    for size in _SERVICE_ADDRESSES:
+        service = SimpleNamespace(
+            number=1, addresses=[address_of(number) for number in range(size)]
+        )
+        open_ones = {
+            address: SimpleNamespace(service=1) for address in service.addresses
+        }
+        listeners = Listeners(
+            node=SimpleNamespace(settings=SimpleNamespace(site='site-1')),
+            forwarder=OpenListeners(open_ones),
+            listen_ip=None,
+        )
+        configuration = SimpleNamespace(
+            carried_at=lambda _, services={'service': service}: services
+        )
+        start = process_time()
+        listeners.apply(configuration)
+        spent_ms = (process_time() - start) * _MS
+        print(f'configuration, {size} addresses: {spent_ms:.1f} ms to compare')
+
+
 def _measure_messages() -> None:
     """Bytes and processor time of membership in a quiet cluster."""
     sent: list[float] = []
