--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -132,7 +132,9 @@
         for found in replay(read_trace(path).unwrap(), ALL_GUARANTEES):
             verdict.violated += bool(found.violations)
             for violation in found.violations[:3]:
-                self._say(f'{cluster.firm.name}: {found.name}: {violation.text}')
+                self._say(
+                    f'{cluster.firm.name}: {found.name}: {violation.text}'
+                )
 
     def _kill_balancer(self, cluster: Cluster) -> None:
         cluster.kill_balancer(2)
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -64,6 +64,10 @@
         """
         return self._running.pop(name).wait(limit_s)
 
+    def pid(self, name: str) -> int:
+        """Number of a process that was started and not ended."""
+        return self._running[name].pid
+
     def names(self) -> list[str]:
         """Names of the processes that were started and not ended."""
         return list(self._running)
