Test freezes, stops, keys and configuration with real processes

The cluster of the demonstration gains starts without local files, with another key file and of a target alone.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -77,11 +77,21 @@
                 self.add_target(number, services)
                 number += 1
 
-    def add_balancer(self, number: int, *, announce: bool = True) -> None:
-        """Starts a balancer and, if wanted, tells the fabric of it."""
+    def add_balancer(
+        self, number: int, *, announce: bool = True, files: bool = True
+    ) -> None:
+        """Starts a balancer.
+
+        Args:
+            number: Number of the balancer.
+            announce: Whether to tell the fabric of it.
+            files: Whether it has local configuration files.
+        """
         ip = self.firm.ip(1, number)
         settings = {
-            **self._node_settings(f'balancer-{number}', ip, number),
+            **self._node_settings(
+                f'balancer-{number}', ip, number, files=files
+            ),
             'listen_ip': ip,
         }
         self._run('balancer', f'balancer-{number}', settings)
@@ -108,32 +118,44 @@
         changes['balancers'] = [
             self.firm.ip(1, number) for number in self._balancers
         ]
+        self.send_fabric(**changes)
+
+    def send_fabric(self, **changes: object) -> None:
+        """Sends the fabric new balancers or faults."""
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
             sender.sendto(
                 json.dumps(changes).encode(),
                 (self.firm.ip(9, 1), _FABRIC_CONTROL),
             )
 
-    def add_target(self, number: int, services: tuple[Service, ...]) -> None:
-        """Starts a target and the agent beside it."""
+    def add_target(
+        self,
+        number: int,
+        services: tuple[Service, ...],
+        *,
+        files: bool = True,
+        keys: Path | None = None,
+    ) -> None:
+        """Starts a target and the agent beside it.
+
+        Args:
+            number: Number of the target.
+            services: What it serves.
+            files: Whether its agent has local configuration files.
+            keys: Key file of its agent; that of the cluster by default.
+        """
         self._targets[number] = services
-        target = f'{self.firm.ip(3, number)}:{_TARGET}'
-        self.processes.start(
-            f'target-{number}',
-            'standins.target',
-            '--listen',
-            target,
-            '--slots',
-            str(self.firm.slots),
-            '--ledger',
-            str(self.ledger(number)),
-        )
+        self.start_target_process(number)
         settings = {
             **self._node_settings(
-                f'agent-{number}', self.firm.ip(2, number), number
+                f'agent-{number}',
+                self.firm.ip(2, number),
+                number,
+                files=files,
             ),
+            'keys': str(keys or self.keys),
             'services': [service.name for service in services],
-            'target': target,
+            'target': f'{self.firm.ip(3, number)}:{_TARGET}',
             'slots': self.firm.slots,
             'certificate': str(self._directory / 'certificate.pem'),
             'certificate_key': str(self._directory / 'certificate-key.pem'),
@@ -141,6 +163,19 @@
         }
         self._run('agent', f'agent-{number}', settings)
 
+    def start_target_process(self, number: int) -> None:
+        """Starts a target without an agent."""
+        self.processes.start(
+            f'target-{number}',
+            'standins.target',
+            '--listen',
+            f'{self.firm.ip(3, number)}:{_TARGET}',
+            '--slots',
+            str(self.firm.slots),
+            '--ledger',
+            str(self.ledger(number)),
+        )
+
     def drain_target(self, number: int) -> None:
         """Drains a target through the command line."""
         self.drained[number] = time.monotonic()
@@ -305,9 +340,11 @@
         return f'{self.firm.ip(8, 1)}:{_STORE}'
 
     def _node_settings(
-        self, name: str, ip: str, number: int
+        self, name: str, ip: str, number: int, *, files: bool
     ) -> dict[str, object]:
         sites = self.firm.sites
+        configuration = str(self._directory / 'configuration')
+        local = {'configuration': configuration} if files else {}
         return {
             'name': name,
             'site': sites[(number - 1) % len(sites)],
@@ -321,7 +358,7 @@
             ],
             'keys': str(self.keys),
             'store': f'http://{self._store_address}',
-            'configuration': str(self._directory / 'configuration'),
+            **local,
         }
 
     def _run(
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -15,7 +15,7 @@
         firm.start()
         yield firm
     finally:
-        firm.close()
+        firm.end()
 
 
 @pytest.fixture
--- /dev/null
+++ b/tests/processes/nodes.py
@@ -0,0 +1,218 @@
+"""A small firm of real processes."""
+
+import json
+import os
+import signal
+import time
+from collections.abc import Callable, Iterable
+from functools import partial
+from pathlib import Path
+from typing import Final
+from urllib.error import HTTPError
+from urllib.request import urlopen
+
+from gevent import socket
+
+from demo.cluster import Cluster
+from demo.firm import Firm as FirmPlan
+from demo.firm import Service
+from tests.processes.waiting import LIMIT_S, in_thread, wait_until
+
+BOOKINGS: Final = Service(name='bookings', number=1, port=4431)
+STATEMENTS: Final = Service(name='statements', number=2, port=4432)
+
+BALANCERS: Final = (1, 2, 3)
+TARGETS: Final = (1, 2, 3)
+STATEMENTS_TARGET: Final = 4
+
+BALANCER: Final = 1
+AGENT: Final = 2
+
+_KEYS_LOADED: Final = 'event=keys_reloaded'
+
+_PLAN: Final = FirmPlan(
+    name='processes',
+    network=31,
+    # Balancers 1 and 3 are in the first site, balancer 2 in the second.
+    sites=('north', 'south'),
+    pools=(((BOOKINGS,), len(TARGETS)), ((STATEMENTS,), 1)),
+    slots=2,
+)
+
+
+class Nodes:
+    """Three balancers in two sites, and four agents with their targets.
+
+    Args:
+        directory: Where settings, ledgers and logs go.
+    """
+
+    def __init__(self, *, directory: Path) -> None:
+        self.directory = directory
+        self.cluster = Cluster(firm=_PLAN, directory=directory)
+
+    def end(self) -> None:
+        """Ends every process."""
+        self.cluster.processes.end_all()
+
+    def start(self) -> None:
+        """Starts every process and waits until all can be used."""
+        self.cluster.start()
+        in_thread(self.cluster.wait_all_ready)
+        self.wait_members()
+
+    def send(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to a process."""
+        os.kill(self.cluster.processes.pid(name), number)
+
+    def restart_target(self, number: int) -> None:
+        """Starts a target and its agent again after their loss."""
+        services = (STATEMENTS,) if number == STATEMENTS_TARGET else (BOOKINGS,)
+        # An incarnation counts seconds, so a quicker start would repeat it.
+        in_thread(time.sleep, 1)
+        self.cluster.add_target(number, services)
+        in_thread(self.cluster.wait_ready, AGENT, number)
+        self.wait_members()
+
+    def start_target_process(self, number: int) -> None:
+        """Starts a target again whose agent is running."""
+        host = _PLAN.ip(3, number)
+        self.cluster.start_target_process(number)
+        wait_until(lambda: _accepts(host), f'target {number} listens')
+
+    def use_balancers(self, *numbers: int) -> None:
+        """Makes the fabric send to these balancers only."""
+        self.cluster.send_fabric(
+            balancers=[_PLAN.ip(BALANCER, number) for number in numbers]
+        )
+
+    def remove(self, *names: str) -> None:
+        """Kills processes that a test added and uses the first balancers."""
+        self.use_balancers(*BALANCERS)
+        for name in names:
+            self.cluster.processes.kill(name)
+
+    def apply(self) -> None:
+        """Applies the configuration and waits until it is in force."""
+        in_thread(self.cluster.apply, 9000)
+
+    def rotate(self, kinds: Iterable[str], step: str) -> None:
+        """Does a step for keys of some kinds and tells every node."""
+        for kind in kinds:
+            self.call_plain(
+                'key',
+                'rotate',
+                str(self.cluster.keys),
+                '--kind',
+                kind,
+                '--step',
+                step,
+            )
+        for name in self.cluster.processes.names():
+            if name.startswith(('balancer-', 'agent-')):
+                self._reload_keys(name)
+
+    def wait_members(self) -> None:
+        """Waits until every balancer places on every target."""
+        for number in BALANCERS:
+            wait_until(
+                partial(self._knows_agents, number),
+                f'balancer {number} knows every agent',
+            )
+
+    def targets(self, balancer: int) -> list[dict[str, object]]:
+        """The targets that a balancer knows."""
+        text = self.call(
+            'target', 'list', self.request_address(BALANCER, balancer)
+        )
+        return json.loads(text)
+
+    def call_plain(self, *arguments: str) -> str:
+        """Runs a command and returns its output."""
+        return in_thread(self.cluster.processes.call, 'anvilthread', *arguments)
+
+    def call(self, *arguments: str) -> str:
+        """Runs a command that asks a node, and returns its JSON."""
+        return in_thread(
+            self.cluster.processes.call,
+            'anvilthread',
+            *arguments,
+            '--json',
+            '--keys',
+            str(self.cluster.keys),
+        )
+
+    def request_address(self, kind: int, number: int) -> str:
+        """Address for operations of a node."""
+        return f'{_PLAN.ip(kind, number)}:7947'
+
+    def wait_metric(
+        self, kind: int, number: int, name: str, wanted: float
+    ) -> None:
+        """Waits until the sum of a metric of a node has a value."""
+        wait_until(
+            lambda: self.metric(kind, number, name) == wanted,
+            f'{name} of {kind}.{number} is {wanted}',
+        )
+
+    def metric(self, kind: int, number: int, name: str) -> float:
+        """Sum of a metric of a node over all labels."""
+        lines = self._get(kind, number, 'metrics').splitlines()
+        return sum(map(_last_number, filter(_is_of(name), lines)))
+
+    def log(self, name: str) -> str:
+        """What a process has logged so far."""
+        return (self.directory / f'{name}.log').read_text()
+
+    def wait_exit(self, name: str) -> int:
+        """Waits for the end of a process and returns its exit code."""
+        return in_thread(self.cluster.processes.wait, name, LIMIT_S)
+
+    def wait_ready(self, kind: int, number: int) -> None:
+        """Waits until a node is ready for traffic."""
+        in_thread(self.cluster.wait_ready, kind, number)
+
+    def is_ready(self, kind: int, number: int) -> bool:
+        """Whether a node is ready for traffic."""
+        try:
+            self._get(kind, number, 'ready')
+        except HTTPError:
+            return False
+        return True
+
+    def _reload_keys(self, name: str) -> None:
+        loaded = self.log(name).count(_KEYS_LOADED)
+        self.send(name, signal.SIGHUP)
+        wait_until(
+            lambda: self.log(name).count(_KEYS_LOADED) > loaded,
+            f'{name} has loaded its keys',
+        )
+
+    def _knows_agents(self, balancer: int) -> bool:
+        states = [target['state'] for target in self.targets(balancer)]
+        return states.count('alive') == len(TARGETS) + 1
+
+    def _get(self, kind: int, number: int, path: str) -> str:
+        url = f'http://{_PLAN.ip(kind, number)}:9100/{path}'
+
+        def fetch() -> str:
+            with urlopen(url, timeout=5) as answer:
+                return answer.read().decode()
+
+        return in_thread(fetch)
+
+
+def _is_of(name: str) -> Callable[[str], bool]:
+    return lambda line: line.startswith((f'{name} ', f'{name}{{'))
+
+
+def _last_number(line: str) -> float:
+    return float(line.rpartition(' ')[2])
+
+
+def _accepts(host: str) -> bool:
+    try:
+        socket.create_connection((host, 8080), timeout=1).close()
+    except OSError:
+        return False
+    return True
