--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -135,7 +135,8 @@
             verdict.violated += bool(found.violations)
             for violation in found.violations[:3]:
                 self._say(
-                    f'{cluster.firm.name}: {found.name}: line {violation.line}: {violation.reason}'
+                    f'{cluster.firm.name}: {found.name}: '
+                    f'line {violation.line}: {violation.reason}'
                 )
 
     def _kill_balancer(self, cluster: Cluster) -> None:
