Announce an agent again only when its description differs

Cause: agents describe themselves after every change of the configuration, and each description took a new incarnation. Every change would spread a record of every agent, and balancers, which forget the load of an earlier incarnation, would forget it at every change. Found by reading. Reports now carry the incarnation of the process, which refutations leave as it is.

--- a/anvilthread/agent/agent.py
+++ b/anvilthread/agent/agent.py
@@ -108,7 +108,7 @@
             decisions=self._decisions,
             balancers=self._balancers,
             peers=self._peers,
-            membership=node.membership,
+            incarnation=node.incarnation,
         )
         node.every(REPORT_PERIOD_MS, reporter.send)
         node.view.subscribe(self._apply)
--- a/anvilthread/agent/load_reporter.py
+++ b/anvilthread/agent/load_reporter.py
@@ -8,7 +8,6 @@
 from anvilthread.agent.balancers import Balancers
 from anvilthread.agent.member_peers import MemberPeers
 from anvilthread.agent.packet_server import PacketServer
-from anvilthread.membership import MembershipNode
 from anvilthread.routing.datagram_kind import DatagramKind
 from anvilthread.routing.encapsulated import Encapsulated
 from anvilthread.routing.load_report import LoadReport
@@ -37,7 +36,8 @@
         decisions: Counts first packets.
         balancers: Balancers of the view.
         peers: Other agents.
-        membership: Knows this agent's incarnation.
+        incarnation: Incarnation of this process. That of the membership also
+            rises on refutations, after which balancers would forget the load.
     """
 
     __slots__ = (
@@ -45,7 +45,7 @@
         '_balancers',
         '_codec',
         '_decisions',
-        '_membership',
+        '_incarnation',
         '_peers',
         '_sequence',
         '_server',
@@ -59,14 +59,14 @@
         decisions: AgentAdmission,
         balancers: Balancers,
         peers: MemberPeers,
-        membership: MembershipNode,
+        incarnation: int,
     ) -> None:
         self._server = server
         self._admission = admission
         self._decisions = decisions
         self._balancers = balancers
         self._peers = peers
-        self._membership = membership
+        self._incarnation = incarnation
         self._codec = LoadReportCodec()
         self._sequence = 0
 
@@ -98,7 +98,7 @@
         report = LoadReport(
             service=service,
             agent=self._server.address,
-            incarnation=self._membership.member.incarnation,
+            incarnation=self._incarnation,
             sequence=self._sequence,
             connections=self._server.connections,
             busy=load.busy,
--- a/anvilthread/membership/own_member.py
+++ b/anvilthread/membership/own_member.py
@@ -65,7 +65,14 @@
             )
 
     def describe(self, *, services: tuple[int, ...], slots: int) -> None:
-        """Announces other services and slots, under a new incarnation."""
+        """Announces other services and slots, under a new incarnation.
+
+        The same services and slots are not announced again: every change of
+        the configuration would otherwise spread a record of every agent.
+        """
+        known = (self._member.services, self._member.slots)
+        if known == (services, slots):
+            return
         self._member = msgspec.structs.replace(
             self._member, services=services, slots=slots
         )
--- a/tests/membership/test_table.py
+++ b/tests/membership/test_table.py
@@ -219,3 +219,20 @@
         dead = _member(number, 1, _DEAD)
         contact.on_change(MemberChange(before=_member(number), after=dead))
         assert contact.in_contact('site-a') == expected
+
+
+@pytest.mark.parametrize(('services', 'announced'), [((7, 8), 0), ((7, 9), 1)])
+def test_only_a_difference_is_announced(
+    services: tuple[int, ...], announced: int
+) -> None:
+    """Guards against every change of the configuration renewing all agents.
+
+    A renewal spreads a record of the agent and takes a new incarnation.
+    """
+    cluster = MembershipCluster(seed=1)
+    node = cluster.add(0).node
+    node.describe(services=(7, 8), slots=2)
+    before = node.member.incarnation
+    node.describe(services=services, slots=2)
+    assert node.member.incarnation == before + announced
+    cluster.stop()
