--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -3,7 +3,8 @@
 import importlib
 import pkgutil
 import sys
-from time import process_time
+from collections.abc import Callable
+from time import perf_counter
 
 import benchmarks
 
@@ -17,25 +18,31 @@
     Returns:
         The exit code.
     """
-    known = _names()
-    unknown = [name for name in arguments if name not in known]
+    runs = _runs()
+    unknown = [name for name in arguments if name not in runs]
     if unknown:
-        print(f'unknown: {", ".join(unknown)}; known: {", ".join(known)}')
+        print(f'unknown: {", ".join(unknown)}; known: {", ".join(runs)}')
         return 2
-    for name in arguments or known:
+    for name in arguments or runs:
         print(f'== {name}', flush=True)
-        start = process_time()
-        importlib.import_module(f'benchmarks.{name}').run()
-        print(f'   {process_time() - start:.0f} s of processor time\n')
+        start = perf_counter()
+        runs[name]()
+        print(f'   {perf_counter() - start:.0f} s\n', flush=True)
     return 0
 
 
-def _names() -> list[str]:
-    return [
-        module.name
-        for module in pkgutil.iter_modules(benchmarks.__path__)
-        if not module.name.startswith('_')
-    ]
+def _runs() -> dict[str, Callable[[], None]]:
+    """Returns the benchmarks by name; modules without ``run`` are helpers."""
+    modules = {
+        found.name: importlib.import_module(f'benchmarks.{found.name}')
+        for found in pkgutil.iter_modules(benchmarks.__path__)
+        if not found.name.startswith('_')
+    }
+    return {
+        name: module.run
+        for name, module in modules.items()
+        if hasattr(module, 'run')
+    }
 
 
 if __name__ == '__main__':
