--- a/anvilthread/agent/agent.py
+++ b/anvilthread/agent/agent.py
@@ -200,11 +200,24 @@
 
     def _use_keys(self, keys: Keys) -> None:
         self._pipeline.use_keys(keys)
+        self._reload_certificate()
         self._server.use_keys(
             self._node.connection_id_codec(),
             self._node.encapsulation_codec(),
         )
 
+    def _reload_certificate(self) -> None:
+        try:
+            configuration = _quic_configuration(self._settings)
+        except (OSError, ValueError) as error:
+            self._node.log.warning(
+                'certificate_reload_failed',
+                error=error,
+                remedy='correct the files; the earlier certificate is in use',
+            )
+            return
+        self._server.use_configuration(configuration)
+
     def _report_empty(self) -> None:
         while self._server.connections:
             self._node.clock.sleep_ms(_POLL_MS)
--- a/anvilthread/agent/packet_server.py
+++ b/anvilthread/agent/packet_server.py
@@ -137,6 +137,10 @@
         """Maker of connection IDs."""
         return self._issuer
 
+    def use_configuration(self, configuration: QuicConfiguration) -> None:
+        """Replaces the TLS and QUIC settings of new connections."""
+        self._configuration = configuration
+
     def run(self) -> None:
         """Receives packets until the socket is closed."""
         receive_all(self._socket, self._receive)
