Keep the carriers of agents when one balancer changes

Cause: after each change of a balancer, placement ranked all balancers for all agents of large services, 434 s of processor time at 42,000 agents and 6,500 balancers (docs/CAPACITY.md). The first ranking of a balancer that starts is as expensive as before. Agents choose the receivers of reports again only when balancers change.

--- a/anvilthread/agent/balancers.py
+++ b/anvilthread/agent/balancers.py
@@ -10,7 +10,10 @@
     """The balancers that can carry answers to clients."""
 
     def live_balancers(self) -> Sequence[Address]:
-        """Data addresses of the balancers believed to be alive."""
+        """Data addresses of the balancers believed to be alive.
+
+        The same object is returned until they change.
+        """
 
     def is_gone(self, balancer: Address) -> bool:
         """Tells whether a balancer is known to be dead or to have left."""
--- a/anvilthread/agent/load_reporter.py
+++ b/anvilthread/agent/load_reporter.py
@@ -1,5 +1,6 @@
 """Load reports of an agent to balancers and peers."""
 
+from collections.abc import Sequence
 from typing import Final
 
 from anvilthread.address import Address
@@ -43,9 +44,11 @@
     __slots__ = (
         '_admission',
         '_balancers',
+        '_chosen',
         '_codec',
         '_decisions',
         '_incarnation',
+        '_known',
         '_peers',
         '_sequence',
         '_server',
@@ -69,6 +72,10 @@
         self._incarnation = incarnation
         self._codec = LoadReportCodec()
         self._sequence = 0
+        # Choosing among thousands of balancers takes milliseconds, so it is
+        # repeated only when they change.
+        self._known: Sequence[Address] = ()
+        self._chosen: list[Address] = []
 
     def send(self) -> None:
         """Sends one report to every receiver."""
@@ -81,7 +88,10 @@
 
     def _receivers(self) -> list[Address]:
         live = self._balancers.live_balancers()
-        return carriers(self._server.address, live, _BALANCERS)
+        if live is not self._known:
+            self._known = live
+            self._chosen = carriers(self._server.address, live, _BALANCERS)
+        return self._chosen
 
     def _peer_receivers(self, services: list[int]) -> list[Address]:
         peers = [
--- a/anvilthread/routing/subset.py
+++ b/anvilthread/routing/subset.py
@@ -5,6 +5,7 @@
 
 from anvilthread.address import Address
 from anvilthread.routing.candidate import Candidate
+from anvilthread.routing.carrier_table import CarrierTable
 from anvilthread.routing.rendezvous import hash_address, highest
 
 #: Balancers that place on one agent and get its separate load reports.
@@ -45,7 +46,7 @@
         least_size: Fewest agents to use of a larger service.
     """
 
-    __slots__ = ('_balancer', '_copies', '_least_size', '_whole_size')
+    __slots__ = ('_balancer', '_carriers', '_least_size', '_whole_size')
 
     def __init__(
         self,
@@ -56,7 +57,7 @@
         least_size: int = DEFAULT_LEAST_SIZE,
     ) -> None:
         self._balancer = balancer
-        self._copies = copies
+        self._carriers = CarrierTable(balancer=balancer, copies=copies)
         self._whole_size = whole_size
         self._least_size = least_size
 
@@ -72,11 +73,11 @@
         """
         if len(candidates) <= self._whole_size:
             return list(candidates)
-        peers = sorted({*balancers, self._balancer})
+        self._carriers.use_balancers(balancers)
         chosen = {
             candidate.agent
             for candidate in candidates
-            if self._balancer in carriers(candidate.agent, peers, self._copies)
+            if self._carriers.carries(candidate.agent)
         }
         if len(chosen) < self._least_size:
             chosen.update(self._nearest(candidates))
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -96,7 +96,7 @@
     agents = [
         Candidate(agent=address_of(number)) for number in range(_SERVICE_AGENTS)
     ]
-    seconds = []
+    first, later = [], []
     for size in _BALANCERS:
         clock = SystemClock()
         placement = LoadAwarePlacement(
@@ -108,12 +108,20 @@
         balancers = [address_of(number, 7001) for number in range(size)]
         start = process_time()
         placement.update_balancers(balancers)
-        seconds.append(process_time() - start)
-    slope = linear_regression(_BALANCERS, seconds).slope / _SERVICE_AGENTS
+        first.append(process_time() - start)
+        start = process_time()
+        placement.update_balancers([*balancers, address_of(size, 7002)])
+        later.append(process_time() - start)
+    slope = linear_regression(_BALANCERS, first).slope / _SERVICE_AGENTS
     print(
-        f'change of a balancer, services of more than 32 agents: '
+        f'start of a balancer, services of more than 32 agents: '
         f'{slope * _MS * _MS:.2f} us per agent and balancer'
     )
+    for size, seconds in zip(_BALANCERS, later, strict=True):
+        print(
+            f'one more balancer beside {size}: '
+            f'{seconds / _SERVICE_AGENTS * _MS * _MS:.1f} us per agent'
+        )
 
 
 def _measure_receivers() -> None:
