Log datagrams that no accepted key has tagged

A node with another key file stayed out of the membership, but neither its log nor any other told why: the transport only counted such datagrams, and the count is not exported. Test with real processes: no log named the refusal within 15 s. The warning names the sender and the remedy, at most once in 10 s, because anybody can send forged datagrams.

--- a/anvilthread/transport/udp_transport.py
+++ b/anvilthread/transport/udp_transport.py
@@ -3,6 +3,7 @@
 from contextlib import suppress
 from typing import Final, NoReturn
 
+from absl import logging
 from gevent import socket
 from gevent.event import Event
 
@@ -13,6 +14,9 @@
 
 _PURPOSE: Final = b'anvilthread-udp'
 
+#: Anybody can send forged datagrams, so few of them are logged.
+_REFUSAL_LOG_S: Final = 10
+
 #: Larger than any datagram that is accepted, so that a longer one shows.
 _READ_BYTES: Final = MAX_DATAGRAM_BYTES + 1
 
@@ -95,10 +99,10 @@
         """Blocks the calling task until an authentic message arrives."""
         while True:
             datagram, endpoint = self._read()
-            payload = self._authenticate(datagram)
+            host, port = endpoint
+            sender = Address(host=host, port=port)
+            payload = self._authenticate(datagram, sender)
             if payload is not None:
-                host, port = endpoint
-                sender = Address(host=host, port=port)
                 return Received(sender=sender, payload=payload)
 
     def close(self) -> None:
@@ -114,13 +118,22 @@
                 return self._socket.recvfrom(_READ_BYTES)
         _never_resume()
 
-    def _authenticate(self, datagram: bytes) -> bytes | None:
+    def _authenticate(self, datagram: bytes, sender: Address) -> bytes | None:
         if not TAG_SIZE < len(datagram) <= MAX_DATAGRAM_BYTES:
             self._malformed += 1
             return None
         payload = self._tag.open(datagram)
         if payload is None:
             self._forged += 1
+            logging.log_every_n_seconds(
+                logging.WARNING,
+                'event=datagram_refused sender=%s '
+                'reason="no accepted datagram key made its tag" '
+                'remedy="give the sender the key file of the cluster and '
+                'send it SIGHUP"',
+                _REFUSAL_LOG_S,
+                sender,
+            )
         return payload
 
 
