Take rotated datagram and execution keys on SIGHUP

A reload of the key file changed only the keys of the data path. Membership and the sealing of execution keys kept the keys of the start, so after the last step of a rotation a new node with the newest file never became ready. Both now take the keys of the file.

CURVE keys are still those of the start. Binding the ROUTER again with a new key was tried and ruled out: it ends the accepted connections and loses their messages.

--- a/anvilthread/agent/request_pipeline.py
+++ b/anvilthread/agent/request_pipeline.py
@@ -67,6 +67,11 @@
         sealer = KeySealer(
             keys=node.keys.execution.keys, active=node.keys.execution.active
         )
+        node.on_keys(
+            lambda keys: sealer.use_keys(
+                keys=keys.execution.keys, active=keys.execution.active
+            )
+        )
         keyed = KeyedRunner(
             clock=node.clock,
             identity=identity,
--- a/anvilthread/daemon/node.py
+++ b/anvilthread/daemon/node.py
@@ -200,12 +200,14 @@
             slots=slots,
             configuration_revision=0,
         )
+        transport = UdpTransport(
+            address=settings.control, keys=self.keys.datagram.ordered
+        )
+        self.on_keys(lambda keys: transport.use_keys(keys.datagram.ordered))
         return MembershipNode(
             clock=self.clock,
             random=self.random,
-            transport=UdpTransport(
-                address=settings.control, keys=self.keys.datagram.ordered
-            ),
+            transport=transport,
             member=member,
             seeds=tuple(settings.seeds),
             settings=MembershipSettings(),
--- a/anvilthread/outcomes/key_sealer.py
+++ b/anvilthread/outcomes/key_sealer.py
@@ -40,6 +40,18 @@
     __slots__ = ('_active', '_ciphers')
 
     def __init__(self, *, keys: Mapping[int, bytes], active: int) -> None:
+        self.use_keys(keys=keys, active=active)
+
+    def use_keys(self, *, keys: Mapping[int, bytes], active: int) -> None:
+        """Replaces the keys after a key rotation.
+
+        Args:
+            keys: AES-SIV keys by number, as for a new sealer.
+            active: Number of the key for new execution keys.
+
+        Raises:
+            SealingKeyError: If a number or a key length is out of range.
+        """
         for number, key in keys.items():
             if number not in range(256) or len(key) not in _KEY_SIZES:
                 raise SealingKeyError(
--- a/anvilthread/transport/udp_transport.py
+++ b/anvilthread/transport/udp_transport.py
@@ -84,6 +84,14 @@
         """Messages lost because they were too long or the system refused."""
         return self._unsent
 
+    def use_keys(self, keys: tuple[bytes, ...]) -> None:
+        """Replaces the keys after a key rotation.
+
+        Raises:
+            DatagramKeyError: If there is no key or a key has a wrong length.
+        """
+        self._tag = KeyedTag(keys=keys, purpose=_PURPOSE)
+
     def send(self, address: Address, payload: bytes) -> None:
         """Sends without blocking; a message that cannot be sent is lost."""
         datagram = self._tag.seal(payload)
