Test key rotation, refused nodes and failed targets

Two tests show faults that stay open.

- a waiting request whose agent loses its target process can be told that it was not run while the other agents are busy;
- CURVE keys are not reloaded.

--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -112,3 +112,40 @@
     starts = firm.starts()
     assert [starts[name] for name in waiting] == [0, 0]
     assert max(starts.values()) == 1
+
+
+def test_killed_target_process(firm: Firm) -> None:
+    """Guards against lost waiting requests and repeated running ones.
+
+    Eight requests of one connection fill the six slots of bookings; two wait.
+    """
+    client = firm.open_client()
+    number = firm.agent_of(client)
+    local = [f'process-{index}' for index in range(2)]
+    rest = [f'process-{index}' for index in range(2, 8)]
+    responses = {name: post(client, name, 3000) for name in local}
+    firm.wait_started(*local)
+    assert {firm.runner(name) for name in local} == {number}
+    responses |= {name: post(client, name, 3000) for name in rest}
+    wait_until(
+        lambda: len(set(firm.starts()) & set(rest)) == 4,
+        'the other targets are full',
+    )
+    firm.wait_metric(AGENT, number, 'anvilthread_requests_waiting', 2)
+    waiting = set(rest) - set(firm.starts())
+
+    firm.cluster.processes.kill(f'target-{number}')
+
+    assert {finish(responses[name]).outcome for name in local} == {'unknown'}
+    failed = [
+        (name, name in waiting, bytes(responses[name].body))
+        for name in rest
+        if finish(responses[name]).outcome != 'answered'
+    ]
+    assert not failed
+    assert number not in {firm.runner(name) for name in waiting}
+    assert not client.is_broken
+    starts = firm.starts()
+    assert {starts[name] for name in responses} == {1}
+    firm.start_target_process(number)
+    assert_serves(client, 'process-after')
--- a/tests/processes/test_operation.py
+++ b/tests/processes/test_operation.py
@@ -3,10 +3,14 @@
 import json
 import signal
 
+import pytest
+
+from anvilthread.settings.key_kind import KeyKind
 from tests.processes.firm import Firm, assert_serves, finish, post
 from tests.processes.nodes import (
     AGENT,
     BALANCER,
+    BALANCERS,
     BOOKINGS,
 )
 from tests.processes.waiting import wait_until
@@ -84,3 +88,73 @@
         firm.cluster.set_store(outage=False)
         firm.remove('balancer-4', 'agent-5', 'target-5')
     firm.wait_members()
+
+
+def test_node_with_other_keys(firm: Firm) -> None:
+    """Guards against a node of another cluster that gets requests."""
+    keys = firm.directory / 'other-keys.toml'
+    firm.call_plain('key', 'new', str(keys))
+    firm.cluster.add_target(6, (BOOKINGS,), keys=keys)
+    try:
+        wait_until(
+            lambda: (
+                'refused' in firm.log('agent-6')
+                or any(
+                    'refused' in firm.log(f'balancer-{n}') for n in BALANCERS
+                )
+            ),
+            'a log tells of the refused node',
+        )
+        for number in BALANCERS:
+            assert not any(
+                target['request'] == firm.request_address(AGENT, 6)
+                for target in firm.targets(number)
+            )
+        assert not firm.is_ready(AGENT, 6)
+        logs = firm.log('agent-6') + ''.join(
+            firm.log(f'balancer-{number}') for number in BALANCERS
+        )
+        assert 'remedy=' in logs
+    finally:
+        firm.remove('agent-6', 'target-6')
+
+
+@pytest.mark.parametrize(
+    'kinds',
+    [
+        (KeyKind.CONNECTION_ID, KeyKind.DATAGRAM, KeyKind.EXECUTION),
+        (KeyKind.CURVE,),
+    ],
+    ids='-'.join,
+)
+def test_key_rotation(firm: Firm, kinds: tuple[KeyKind, ...]) -> None:
+    """Guards against connections that break in a rotation of any key."""
+    old = [found[0] for found in firm.open_clients(1).values()]
+    for step in ('add', 'activate'):
+        firm.rotate(kinds, step)
+        for index, client in enumerate((*old, firm.open_client())):
+            assert_serves(client, f'{kinds[0]}-{step}-{index}')
+    # The old connection IDs end with their connections, as the manual wants.
+    for client in old:
+        client.close()
+    new = [found[0] for found in firm.open_clients(1).values()]
+    firm.rotate(kinds, 'remove')
+    for index, client in enumerate((*new, firm.open_client())):
+        assert_serves(client, f'{kinds[0]}-remove-{index}')
+
+    # A node that knows only the new key proves that the others use it: its
+    # membership, its handovers and the execution keys of others must work.
+    issuer = firm.open_client_at(lambda agent: agent != 1)
+    firm.cluster.kill_target(1)
+    firm.restart_target(1)
+    client = firm.open_client_at(lambda agent: agent == 1)
+    long = [f'{kinds[0]}-long-{index}' for index in range(2)]
+    running = [post(client, name, 3000) for name in long]
+    firm.wait_started(*long)
+    moved = finish(post(client, f'{kinds[0]}-moved'))
+    assert moved.outcome == 'answered', bytes(moved.body)
+    assert firm.runner(f'{kinds[0]}-moved') != 1
+    assert {finish(one).outcome for one in running} == {'answered'}
+    key = json.loads(finish(issuer.request('GET', _KEY_PATH)).body)['key']
+    keyed = finish(post(client, f'{kinds[0]}-keyed', idempotency_key=key))
+    assert keyed.outcome == 'answered', bytes(keyed.body)
