--- a/anvilthread/admission/dispatcher.py
+++ b/anvilthread/admission/dispatcher.py
@@ -14,7 +14,7 @@
 from anvilthread.admission.slot import Slot
 from anvilthread.admission.tracked_request import TrackedRequest
 from anvilthread.clock import Clock
-from anvilthread.outcomes import Outcome, Request, SingleAnswer
+from anvilthread.outcomes import Outcome, Reason, Request, SingleAnswer
 
 
 class Dispatcher:
@@ -76,7 +76,7 @@
             attempts.note(place, outcome)
             if answer.started or not attempts.retriable(outcome, request):
                 return attempts.conclude(outcome)
-            if not self._may_repeat(attempts):
+            if not self._may_repeat(attempts, outcome):
                 return attempts.conclude(outcome)
 
     def _find(
@@ -106,7 +106,11 @@
             slot=slot,
         )
 
-    def _may_repeat(self, attempts: Attempts) -> bool:
+    def _may_repeat(self, attempts: Attempts, outcome: Outcome) -> bool:
         if attempts.count >= self._admission.limits.attempts:
             return False
+        if outcome.reason is Reason.TARGET_UNAVAILABLE:
+            # A refused connection put no load on the target, and the pause
+            # after it keeps further requests away.
+            return True
         return self._budget.take()
