--- a/anvilthread/agent/client_connection.py
+++ b/anvilthread/agent/client_connection.py
@@ -142,6 +142,7 @@
 
     def close(self, reason: str) -> None:
         """Closes the connection with a CONNECTION_CLOSE frame."""
+        self._is_closing = True
         self._quic.close(error_code=ErrorCode.H3_NO_ERROR, reason_phrase=reason)
         self._wake.set()
 
--- a/anvilthread/commands/config_commands.py
+++ b/anvilthread/commands/config_commands.py
@@ -10,7 +10,7 @@
 
 from anvilthread.address import Address
 from anvilthread.commands import connections
-from anvilthread.commands.command_failure import require
+from anvilthread.commands.command_failure import CommandFailure, require
 from anvilthread.commands.configuration_gateway import RevisionSummary
 from anvilthread.commands.exit_code import ExitCode
 from anvilthread.commands.node_call import NodeCall
@@ -27,6 +27,7 @@
 )
 from anvilthread.error import AnvilthreadError
 from anvilthread.operation import OperationClient
+from anvilthread.store import StoreUnavailable
 
 config_app: Final = typer.Typer(
     help='Check, apply and read the configuration of all sites.',
@@ -65,11 +66,17 @@
 KeysOption: TypeAlias = Annotated[
     Path | None,
     typer.Option(
-        '--keys', metavar='FILE', help='Key file.', show_default=False
+        '--keys',
+        metavar='FILE',
+        envvar='ANVILTHREAD_KEYS',
+        help='Key file.',
+        show_default=False,
     ),
 ]
 
 _MS_PER_SECOND: Final = 1000
+#: Errors after which nobody knows whether the store has the change.
+_UNANSWERED: Final = (ApplyUnavailable, ApplyUnknown, StoreUnavailable)
 _CHECK_HELP: Final = """Check configuration files; needs no store.
 
 \b
@@ -182,14 +189,20 @@
 
 def _apply_exit_code(outcome: Result[object, AnvilthreadError]) -> ExitCode:
     # A change whose answer was lost may be in force, so it was not refused.
-    if isinstance(outcome.err(), ApplyUnknown | ApplyUnavailable):
+    if isinstance(outcome.err(), _UNANSWERED):
         return ExitCode.NO_ANSWER
     return ExitCode.REFUSED
 
 
 def _node_revision(node: Address | None, keys: Path | None) -> int:
-    if node is None or keys is None:
+    if node is None:
         return 0
+    if keys is None:
+        error = AnvilthreadError(
+            reason='--node needs the keys of the cluster',
+            remedy='add --keys FILE',
+        )
+        raise CommandFailure(error=error, exit_code=ExitCode.USAGE)
     call = NodeCall(node=node, keys=keys, bind=None)
     return call.run(OperationClient.status).revision
 
--- a/anvilthread/telemetry/log_sink.py
+++ b/anvilthread/telemetry/log_sink.py
@@ -41,7 +41,7 @@
     def emit(self, record: logging.LogRecord) -> None:
         """Queues the message of a record."""
         try:
-            self._queue.put_nowait(record.getMessage())
+            self._queue.put_nowait(_complete(record))
         except Full:
             self._dropped += 1
 
@@ -90,3 +90,17 @@
             },
         )
         return [line]
+
+
+def _complete(record: logging.LogRecord) -> str:
+    """Adds time and level to the lines of components without a log."""
+    text = record.getMessage()
+    if not text.startswith('event='):
+        return text
+    prefix = log_line(
+        wall_ms=int(record.created * _MS_PER_SECOND),
+        level=record.levelname.lower(),
+        name='',
+        fields={},
+    )
+    return f'{prefix.partition(" event=")[0]} {text}'
--- a/tests/commands/test_apply_exit_code.py
+++ b/tests/commands/test_apply_exit_code.py
@@ -11,6 +11,7 @@
     ApplyUnknown,
 )
 from anvilthread.error import AnvilthreadError
+from anvilthread.store import StoreUnavailable
 
 
 @pytest.mark.parametrize(
@@ -18,6 +19,7 @@
     [
         (ApplyRefused(reason='r', remedy='m'), ExitCode.REFUSED),
         (ApplyUnavailable(reason='r'), ExitCode.NO_ANSWER),
+        (StoreUnavailable(reason='r'), ExitCode.NO_ANSWER),
         (ApplyUnknown(change_id='c', reason='r'), ExitCode.NO_ANSWER),
     ],
 )
--- a/tests/path/test_whole_path.py
+++ b/tests/path/test_whole_path.py
@@ -7,8 +7,10 @@
 import pytest
 
 from anvilthread.address import Address
+from anvilthread.agent.client_connection import ClientConnection
 from anvilthread.routing.datagram_kind import DatagramKind
 from anvilthread.routing.encapsulated import Encapsulated
+from anvilthread.reports.connection_events import CloseReason
 from anvilthread.routing.packet_fate import PacketFate
 from standins.client import Client
 from tests.path.local_path import (
@@ -216,3 +218,24 @@
         )
     assert forwarder.counters.count(PacketFate.ANSWERED) == before
     assert forwarder.counters.count(PacketFate.DROPPED_MALFORMED) == 2
+
+
+def test_close_by_the_agent_is_not_the_clients(path: LocalPath) -> None:
+    """Guards against a stop whose closed connections count as kept."""
+    closed: list[CloseReason | None] = []
+
+    def note(connection: ClientConnection) -> None:
+        closed.append(connection.termination)
+
+    for agent in path.agents.values():
+        agent._on_closed = note
+    client = path.open_client()
+    for agent in path.agents.values():
+        for connection in agent.table.connections():
+            connection.close('stopped')
+    for _ in range(100):
+        if closed:
+            break
+        gevent.sleep(0.05)
+    assert client.is_broken
+    assert closed == [CloseReason.SERVER_CLOSED]
