--- a/anvilthread/agent/operations.py
+++ b/anvilthread/agent/operations.py
@@ -5,7 +5,6 @@
 import msgspec
 from result import Err, Ok, Result
 
-from anvilthread.address import Address
 from anvilthread.admission import Admission
 from anvilthread.agent.member_peers import MemberPeers
 from anvilthread.agent.packet_server import PacketServer
@@ -16,7 +15,6 @@
     OperationRefusedError,
     TargetStatus,
 )
-from anvilthread.routing.load_report import LoadReport
 
 
 class AgentOperations:
@@ -60,7 +58,7 @@
 
     def targets(self) -> Sequence[TargetStatus]:
         """Every target in the view."""
-        return target_list(self._node, self._report_of)
+        return target_list(self._node, self._peers.loads)
 
     def drain(self, operator: str) -> Result[NodeStatus, OperationRefusedError]:
         """Starts the drain of the target."""
@@ -77,9 +75,3 @@
                 remedy='restart the agent; it joins under a new incarnation',
             )
         )
-
-    def _report_of(self, agent: Address) -> tuple[LoadReport, int] | None:
-        load = self._peers.loads.load(agent)
-        if load.report is None:
-            return None
-        return load.report, self._node.clock.now_ms() - load.reported_ms
--- a/anvilthread/balancer/operations.py
+++ b/anvilthread/balancer/operations.py
@@ -4,7 +4,6 @@
 
 from result import Err, Ok, Result
 
-from anvilthread.address import Address
 from anvilthread.daemon.node import Node
 from anvilthread.daemon.target_list import target_list
 from anvilthread.operation import (
@@ -12,7 +11,6 @@
     OperationRefusedError,
     TargetStatus,
 )
-from anvilthread.routing.load_report import LoadReport
 from anvilthread.routing.load_table import LoadTable
 
 
@@ -36,7 +34,7 @@
 
     def targets(self) -> Sequence[TargetStatus]:
         """Every target in the view."""
-        return target_list(self._node, self._report_of)
+        return target_list(self._node, self._loads)
 
     def drain(self, operator: str) -> Result[NodeStatus, OperationRefusedError]:
         """Starts a planned stop: the balancer withdraws and then exits."""
@@ -54,9 +52,3 @@
                 remedy='start a new balancer',
             )
         )
-
-    def _report_of(self, agent: Address) -> tuple[LoadReport, int] | None:
-        load = self._loads.load(agent)
-        if load.report is None:
-            return None
-        return load.report, self._node.clock.now_ms() - load.reported_ms
--- a/anvilthread/daemon/target_list.py
+++ b/anvilthread/daemon/target_list.py
@@ -1,32 +1,28 @@
 """Every target that a node knows."""
 
-from collections.abc import Callable
+import msgspec
 
-from anvilthread.address import Address
 from anvilthread.daemon.node import Node
 from anvilthread.membership import Member, Role
 from anvilthread.operation import TargetStatus
-from anvilthread.routing.load_report import LoadReport
+from anvilthread.routing.load_table import LoadTable
 
-ReportOf = Callable[[Address], tuple[LoadReport, int] | None]
 
-
-def target_list(node: Node, report_of: ReportOf) -> list[TargetStatus]:
+def target_list(node: Node, loads: LoadTable) -> list[TargetStatus]:
     """Describes every agent in the node's view.
 
     Args:
         node: The node that answers.
-        report_of: Returns the last load report of a data address and its age
-            in milliseconds.
+        loads: The load reports that it has received.
     """
     agents = [
         member for member in node.membership.table if member.role is Role.AGENT
     ]
     agents.sort(key=lambda member: member.control_address)
-    return [_describe(node, member, report_of) for member in agents]
+    return [_describe(node, member, loads) for member in agents]
 
 
-def _describe(node: Node, member: Member, report_of: ReportOf) -> TargetStatus:
+def _describe(node: Node, member: Member, loads: LoadTable) -> TargetStatus:
     status = TargetStatus(
         control=str(member.control_address),
         request=str(member.request_address),
@@ -35,19 +31,13 @@
         state=member.state.name.lower(),
         slots=member.slots,
     )
-    found = report_of(member.data_address)
-    if found is None:
+    load = loads.load(member.data_address)
+    if load.report is None:
         return status
-    report, age_ms = found
-    return TargetStatus(
-        control=status.control,
-        request=status.request,
-        site=status.site,
-        services=status.services,
-        state=status.state,
-        slots=status.slots,
-        connections=report.connections,
-        busy=report.busy,
-        waiting=report.waiting,
-        report_age_ms=age_ms,
+    return msgspec.structs.replace(
+        status,
+        connections=load.report.connections,
+        busy=load.report.busy,
+        waiting=load.report.waiting,
+        report_age_ms=node.clock.now_ms() - load.reported_ms,
     )
