Answer unknown when the sealing key of an execution key is missing

An agent without the sealing key told a repeat 'not run' although the first request may have run at the key's owner. Only a text that cannot be one of ours, by its length or by failing the check of a key that is here, is still refused as not issued. The test failed with 'not run' before.

--- a/anvilthread/agent/load_reporter.py
+++ b/anvilthread/agent/load_reporter.py
@@ -19,10 +19,10 @@
 #: Time between two reports of one agent.
 REPORT_PERIOD_MS: Final = 1000
 
-#: Most balancers that get the reports of an agent. It keeps the traffic of a
-#: node flat in the size of the fleet. Rendezvous hashing chooses them, so they
-#: include the ones that place on an agent of a large service.
-_BALANCERS: Final = 16
+#: Balancers up to this number all get the reports of an agent; of more, only
+#: those that place on an agent of a large service. It keeps the traffic of a
+#: node flat in the size of the fleet.
+_ALL_BALANCERS: Final = 16
 
 #: Peers that get the reports of an agent.
 _PEERS: Final = 4
@@ -90,7 +90,9 @@
         live = self._balancers.live_balancers()
         if live is not self._known:
             self._known = live
-            self._chosen = carriers(self._server.address, live, _BALANCERS)
+            self._chosen = list(live)
+            if len(live) > _ALL_BALANCERS:
+                self._chosen = carriers(self._server.address, live)
         return self._chosen
 
     def _peer_receivers(self, services: list[int]) -> list[Address]:
--- a/anvilthread/outcomes/key_refusals.py
+++ b/anvilthread/outcomes/key_refusals.py
@@ -13,6 +13,15 @@
     )
 
 
+def sealing_key_missing() -> Outcome:
+    """The key may be good, but this agent cannot tell whose it is."""
+    return Outcome.unknown(
+        Reason.KEY_UNREADABLE,
+        'this agent does not hold the key that sealed the execution key; '
+        'repeat the request, or check whether it took effect',
+    )
+
+
 def expired() -> Outcome:
     """The key was never used and can no longer be."""
     return Outcome.not_run(
--- a/anvilthread/outcomes/key_sealer.py
+++ b/anvilthread/outcomes/key_sealer.py
@@ -14,6 +14,8 @@
 from anvilthread.outcomes.execution_key import ExecutionKey
 
 _CONTENT: Final = struct.Struct('!H6sQQQ')
+#: Number of the key, synthetic initialisation vector (RFC 5297) and content.
+_PACKED_SIZE: Final = 1 + 16 + _CONTENT.size
 _PURPOSE: Final = b'anvilthread execution key'
 _KEY_SIZES: Final = frozenset((32, 48, 64))
 
@@ -76,6 +78,14 @@
         packed = bytes((self._active, *sealed))
         return base64.urlsafe_b64encode(packed).rstrip(b'=').decode()
 
+    def lacks_key_of(self, text: str) -> bool:
+        """Tells whether a text may be sealed with a key that is not here.
+
+        The key may have been removed, or not have reached this agent yet.
+        """
+        packed = _decode(text)
+        return len(packed) == _PACKED_SIZE and packed[0] not in self._ciphers
+
     def open(self, text: str) -> ExecutionKey | None:
         """Returns the content, or None for a text that no agent sealed."""
         packed = _decode(text)
--- a/anvilthread/outcomes/keyed_runner.py
+++ b/anvilthread/outcomes/keyed_runner.py
@@ -74,7 +74,7 @@
             return self._runner.run(request, answer)
         key = self._sealer.open(request.execution_key)
         if key is None:
-            return key_refusals.not_issued()
+            return self._refuse_unopened(request.execution_key)
         if key.service != request.service:
             return key_refusals.other_service()
         if key.owner != self._identity.address:
@@ -83,6 +83,11 @@
             return key_refusals.owner_gone()
         return self._decide(key, request, answer)
 
+    def _refuse_unopened(self, text: str) -> Outcome:
+        if self._sealer.lacks_key_of(text):
+            return key_refusals.sealing_key_missing()
+        return key_refusals.not_issued()
+
     def _decide(
         self, key: ExecutionKey, request: Request, answer: SingleAnswer
     ) -> Outcome:
--- a/anvilthread/outcomes/reason.py
+++ b/anvilthread/outcomes/reason.py
@@ -18,6 +18,7 @@
     KEY_NOT_ISSUED = 'key-not-issued'
     KEY_OTHER_REQUEST = 'key-other-request'
     KEY_OTHER_SERVICE = 'key-other-service'
+    KEY_UNREADABLE = 'key-unreadable'
     KEY_TABLE_FULL = 'key-table-full'
     OVERLOADED = 'overloaded'
     OWNER_GONE = 'owner-gone'
--- a/tests/outcomes/test_execution_keys.py
+++ b/tests/outcomes/test_execution_keys.py
@@ -398,3 +398,12 @@
     clock.advance(151)
     assert table.add(full)
     assert len(table) == 1
+
+
+def test_key_of_a_missing_sealing_key_is_unknown() -> None:
+    """Guards against *not run* for a request that ran at the key's owner."""
+    fleet = _fleet()
+    newer = KeySealer(keys={200: OLD}, active=200)
+    exchange = _send(fleet, newer.seal(KEY))
+    fleet.clock.advance(10)
+    assert _told(exchange) == (OutcomeKind.UNKNOWN, Reason.KEY_UNREADABLE)
