Ask busy peers again for a request whose target is gone

The search now repeats its offers every 100 ms until half of the time to the deadline is over, the limit that holds for waiting in the queue.

--- a/anvilthread/admission/no_offers.py
+++ b/anvilthread/admission/no_offers.py
@@ -22,6 +22,11 @@
         """Nobody is asked."""
         return False
 
+    @property
+    def asked(self) -> bool:
+        """Nobody is asked."""
+        return False
+
     def offer(
         self, request: Request, excluded: Collection[Address], wake: Event
     ) -> 'NoOffers':
--- a/anvilthread/admission/offers.py
+++ b/anvilthread/admission/offers.py
@@ -30,6 +30,10 @@
     def pending(self) -> bool:
         """Whether an agent has yet to reserve or refuse."""
 
+    @property
+    def asked(self) -> bool:
+        """Whether there is an agent that was asked."""
+
     def take(self) -> Place | None:
         """Returns a reserved place, if there is one."""
 
--- a/anvilthread/admission/search.py
+++ b/anvilthread/admission/search.py
@@ -55,6 +55,9 @@
         self._waiter: Waiter | None = None
         self._refusal: Outcome | None = None
         self._offers: Offers = NoOffers()
+        left_ms = request.deadline_ms - clock.now_ms()
+        shed_ms = left_ms * admission.limits.shed_ratio
+        self._give_up_ms = clock.now_ms() + shed_ms
 
     def find(self) -> Result[Slot | Place, Outcome]:
         """Blocks until there is a place or certainty that there is none.
@@ -100,7 +103,9 @@
         while True:
             refusal = self._final_refusal()
             if refusal is not None:
-                return Err(refusal)
+                if not self._may_offer_again(refusal):
+                    return Err(refusal)
+                self._clock.wait(self._request.cancelled, _OFFER_AGAIN_MS)
             self._sleep()
             taken = self._taken()
             if taken is not None:
@@ -123,6 +128,17 @@
             return self._refusal
         return None
 
+    def _may_offer_again(self, refusal: Outcome) -> bool:
+        """Tells whether a place at another agent may still become free.
+
+        Peers that refuse an offer while all their slots are busy may have a
+        free one before the deadline. A request of a target that is gone has
+        no other place to wait.
+        """
+        if refusal.reason is not Reason.TARGET_UNAVAILABLE:
+            return False
+        return self._offers.asked and self._clock.now_ms() < self._give_up_ms
+
     def _sleep(self) -> None:
         if not self._offers.pending:
             self._offers.close()
--- a/anvilthread/outcomes/handover/open_offers.py
+++ b/anvilthread/outcomes/handover/open_offers.py
@@ -110,6 +110,11 @@
         """Whether an agent has yet to be asked or to refuse."""
         return bool(self._later) or any(offer.pending for offer in self._offers)
 
+    @property
+    def asked(self) -> bool:
+        """Whether there is an agent that was asked."""
+        return bool(self._offers)
+
     def take(self) -> Place | None:
         """Returns the first reserved place, if there is one."""
         for offer in self._offers:
