Never run a request whose body was cut at the size limit

Cause: the queue between connection and request dropped the chunk that exceeded 1 MiB and all after it, and then delivered the end of the body. A longer body without content-length ran cut off, as if it were whole. Found by reading. The exceeding chunk is now kept, so the request is refused as too large, and a stream with such a body ends in an error.

--- a/anvilthread/agent/body.py
+++ b/anvilthread/agent/body.py
@@ -25,9 +25,13 @@
         return self._size > MAX_BODY_SIZE
 
     def feed(self, chunk: bytes) -> None:
-        """Adds data that arrived from the client."""
-        self._size += len(chunk)
+        """Adds data that arrived from the client.
+
+        The chunk that exceeds the bound is kept, so that a reader sees it;
+        the following ones are dropped.
+        """
         if not self.is_too_large:
+            self._size += len(chunk)
             self._chunks.put(chunk)
 
     def end(self) -> None:
--- a/anvilthread/agent/stream_body.py
+++ b/anvilthread/agent/stream_body.py
@@ -1,6 +1,6 @@
 """A request body on an HTTP/3 stream."""
 
-from anvilthread.agent.body import Body
+from anvilthread.agent.body import MAX_BODY_SIZE, Body
 from anvilthread.agent.h3_stream import H3Stream
 from anvilthread.outcomes import ClientGoneError
 
@@ -34,6 +34,13 @@
         """
         if not self._rest:
             self._rest = self._source.read()
+        if not self._rest and self._source.is_too_large:
+            # What followed was dropped, so the end that was read is not the
+            # end of the body.
+            raise ClientGoneError(
+                reason=f'the body is longer than {MAX_BODY_SIZE} bytes',
+                remedy='send less, or several requests',
+            )
         if not self._rest and self._stream.cancelled.is_set():
             raise ClientGoneError(
                 reason='the client left before its request was complete',
--- /dev/null
+++ b/tests/agent/test_stream_body.py
@@ -0,0 +1,85 @@
+"""Request bodies on their way from a stream to a target."""
+
+from types import SimpleNamespace
+
+import pytest
+from gevent.event import Event
+
+from anvilthread.agent.body import MAX_BODY_SIZE, Body
+from anvilthread.agent.stream_body import StreamBody
+from anvilthread.clock import ManualClock
+from anvilthread.outcomes import (
+    ClientGoneError,
+    Outcome,
+    OutcomeKind,
+    Reason,
+    Request,
+    RequestHandler,
+    SingleAnswer,
+)
+from standins.collected_answer import CollectedAnswer
+from standins.requests import run_request
+
+_CHUNK = 65_536
+
+
+class RecordingRunner:
+    """Notes the bodies of the requests that it runs."""
+
+    def __init__(self) -> None:
+        self.sizes: list[int] = []
+
+    def run(self, request: Request, answer: SingleAnswer) -> Outcome:
+        """Reads the whole body."""
+        size = 0
+        while part := request.body.read(_CHUNK):
+            size += len(part)
+        self.sizes.append(size)
+        answer.head(200, ())
+        answer.end()
+        return Outcome.answered()
+
+
+def _body(size: int) -> StreamBody:
+    body = Body()
+    for start in range(0, size, _CHUNK):
+        body.feed(bytes(min(_CHUNK, size - start)))
+    body.end()
+    stream = SimpleNamespace(body=body, cancelled=Event())
+    return StreamBody(stream=stream, length=None)
+
+
+def _request(body: StreamBody) -> Request:
+    plain = run_request('x', deadline_ms=ManualClock().now_ms() + 1000)
+    fields = {name: getattr(plain, name) for name in Request.__struct_fields__}
+    return Request(**{**fields, 'body': body})
+
+
+@pytest.mark.parametrize(
+    ('size', 'ran'),
+    [
+        (0, [0]),
+        (10, [10]),
+        (MAX_BODY_SIZE, [MAX_BODY_SIZE]),
+        (MAX_BODY_SIZE + 1, []),
+        (3 * MAX_BODY_SIZE, []),
+    ],
+)
+def test_body_runs_whole_or_not_at_all(size: int, ran: list[int]) -> None:
+    """Guards against a cut body that is taken for the whole one."""
+    runner = RecordingRunner()
+    outcome = RequestHandler(runner=runner).handle(
+        _request(_body(size)), CollectedAnswer()
+    )
+    assert runner.sizes == ran
+    if not ran:
+        assert outcome.kind is OutcomeKind.NOT_RUN
+        assert outcome.reason is Reason.BODY_TOO_LARGE
+
+
+def test_stream_with_a_long_body_ends_in_an_error() -> None:
+    """Guards against a stream whose body ends early without a sign."""
+    body = _body(2 * MAX_BODY_SIZE)
+    with pytest.raises(ClientGoneError, match='longer than'):
+        for _ in range(100):
+            body.read(_CHUNK)
