Keep reading packets after a fault on one of them

Any exception in the handling of a packet ended the task that reads a service address, and with it the process. The loop now logs the fault and goes on.

--- a/anvilthread/transport/udp_socket.py
+++ b/anvilthread/transport/udp_socket.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 import gevent
+from absl import logging
 from gevent import socket
 
 from anvilthread.address import Address
@@ -13,6 +14,8 @@
 
 _MAX_DATAGRAM: Final = 65535
 
+_FAILURE_LOG_S: Final = 10
+
 #: Packets handled before other tasks get a turn. Reading from a busy socket
 #: never blocks, so the task has to yield by itself.
 _BATCH: Final = 64
@@ -43,5 +46,19 @@
     while True:
         for _ in range(_BATCH):
             datagram, sender = source.recvfrom(_MAX_DATAGRAM)
-            handle(datagram, sender)
+            try:
+                handle(datagram, sender)
+            except Exception as error:
+                # A packet that meets a fault must not end the service of all
+                # others.
+                _log_failure(error)
         gevent.sleep(0)
+
+
+def _log_failure(error: Exception) -> None:
+    logging.log_every_n_seconds(
+        logging.ERROR,
+        'event=packet_failed error="%r" remedy="report this fault"',
+        _FAILURE_LOG_S,
+        error,
+    )
