--- a/anvilthread/commands/connections.py
+++ b/anvilthread/commands/connections.py
@@ -59,13 +59,9 @@
         clock: Clock of the transport.
     """
     package = 'anvilthread.transport'
-    make_pair = _load(package, 'CurveKeyPair')
     shared = _load(package, 'ZmqTransport')(
         address=bind or _local_address(node),
-        keys=tuple(
-            make_pair(public=pair.public, secret=pair.secret)
-            for pair in keys.curve.ordered
-        ),
+        keys=keys.curve.ordered,
         clock=clock,
     )
     name = _load(package, 'ChannelName').OPERATOR
--- a/anvilthread/daemon/node.py
+++ b/anvilthread/daemon/node.py
@@ -34,7 +34,6 @@
 from anvilthread.transport import (
     ChannelName,
     Channels,
-    CurveKeyPair,
     ZmqTransport,
 )
 from anvilthread.transport.udp_transport import UdpTransport
@@ -92,7 +91,7 @@
         )
         self._requests = ZmqTransport(
             address=settings.request,
-            keys=_curve_pairs(self.keys),
+            keys=self.keys.curve.ordered,
             clock=self.clock,
         )
         self.membership = self._join(slots)
@@ -236,7 +235,7 @@
             return
         self.keys = loaded.ok_value
         self._control.use_keys(self.keys.datagram.ordered)
-        self._requests.use_keys(_curve_pairs(self.keys))
+        self._requests.use_keys(self.keys.curve.ordered)
         for listener in self._on_keys:
             listener(self.keys)
         self.log.event(
@@ -261,13 +260,6 @@
             run()
 
 
-def _curve_pairs(keys: Keys) -> tuple[CurveKeyPair, ...]:
-    return tuple(
-        CurveKeyPair(public=pair.public, secret=pair.secret)
-        for pair in keys.curve.ordered
-    )
-
-
 def _load(key_file: KeyFile) -> Keys:
     loaded = key_file.load()
     if isinstance(loaded, Err):
--- a/anvilthread/settings/__init__.py
+++ b/anvilthread/settings/__init__.py
@@ -2,7 +2,6 @@
 
 from anvilthread.settings.agent_settings import AgentSettings
 from anvilthread.settings.balancer_settings import BalancerSettings
-from anvilthread.settings.curve_pair import CurvePair
 from anvilthread.settings.key_file import KeyFile
 from anvilthread.settings.key_ring import KeyRing
 from anvilthread.settings.keys import Keys
@@ -17,7 +16,6 @@
 __all__ = (
     'AgentSettings',
     'BalancerSettings',
-    'CurvePair',
     'KeyFile',
     'KeyRing',
     'Keys',
--- a/anvilthread/settings/key_document.py
+++ b/anvilthread/settings/key_document.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable, Mapping
 from typing import Final, TypeVar
 
-from anvilthread.settings.curve_pair import CurvePair
 from anvilthread.settings.key_kind import KeyKind
 from anvilthread.settings.key_ring import KeyRing
 from anvilthread.settings.key_text import new_key
 from anvilthread.settings.keys import Keys
+from anvilthread.transport.curve_key_pair import CurveKeyPair
 
 DecodedT = TypeVar('DecodedT')
 
@@ -79,5 +79,5 @@
         return KeyRing(keys=keys, active=ring.active)
 
 
-def _curve_pair(text: str) -> CurvePair:
-    return CurvePair.of_secret(text.encode())
+def _curve_pair(text: str) -> CurveKeyPair:
+    return CurveKeyPair.of_secret(text.encode())
--- a/anvilthread/settings/key_document_reader.py
+++ b/anvilthread/settings/key_document_reader.py
@@ -7,7 +7,6 @@
 from result import Err, Ok, Result
 
 from anvilthread.routing.connection_id_codec import KEY_NUMBERS
-from anvilthread.settings.curve_pair import CurvePair
 from anvilthread.settings.field_reader import FieldReader
 from anvilthread.settings.key_document import KeyDocument
 from anvilthread.settings.key_kind import KeyKind
@@ -15,6 +14,10 @@
 from anvilthread.settings.key_text import KEY_TYPES
 from anvilthread.settings.settings_error import SettingsError
 from anvilthread.settings.settings_fault import SettingsFault
+from anvilthread.transport.curve_key_pair import (
+    CurveKeyError,
+    CurveKeyPair,
+)
 
 ValueT = TypeVar('ValueT')
 
@@ -107,9 +110,9 @@
 
     def _check_curve(self, name: str, secret: str) -> None:
         try:
-            CurvePair.of_secret(secret.encode())
-        except ValueError as error:
-            self._fault(name, str(error), _RESTORE)
+            CurveKeyPair.of_secret(secret.encode())
+        except CurveKeyError as error:
+            self._fault(name, error.reason, _RESTORE)
 
     def _has_table(
         self, parent: Mapping[str, Any], key: str, *, name: str
--- a/anvilthread/settings/keys.py
+++ b/anvilthread/settings/keys.py
@@ -1,7 +1,7 @@
 """Every key of a cluster."""
 
-from anvilthread.settings.curve_pair import CurvePair
 from anvilthread.settings.key_ring import KeyRing
+from anvilthread.transport.curve_key_pair import CurveKeyPair
 
 
 class Keys:
@@ -21,7 +21,7 @@
         *,
         connection_id: KeyRing[bytes],
         datagram: KeyRing[bytes],
-        curve: KeyRing[CurvePair],
+        curve: KeyRing[CurveKeyPair],
         execution: KeyRing[bytes],
     ) -> None:
         self._connection_id = connection_id
@@ -40,7 +40,7 @@
         return self._datagram
 
     @property
-    def curve(self) -> KeyRing[CurvePair]:
+    def curve(self) -> KeyRing[CurveKeyPair]:
         """CURVE key pairs of the nodes."""
         return self._curve
 
--- a/anvilthread/transport/curve_key_pair.py
+++ b/anvilthread/transport/curve_key_pair.py
@@ -45,6 +45,21 @@
         """Secret key in Z85."""
         return self._secret
 
+    @classmethod
+    def of_secret(cls, secret: bytes) -> Self:
+        """Computes the public key.
+
+        Raises:
+            CurveKeyError: If the secret is not 40 bytes in Z85.
+        """
+        public = _public_of(secret)
+        if not public:
+            raise CurveKeyError(
+                reason='a CURVE secret is not Z85',
+                remedy='generate a new pair and give it to every node',
+            )
+        return cls(public=public, secret=secret)
+
     @classmethod
     def generate(cls) -> Self:
         """Makes a new pair."""
@@ -53,9 +68,14 @@
 
 
 def _belong_together(public: bytes, secret: bytes) -> bool:
+    return bool(public) and _public_of(secret) == public
+
+
+def _public_of(secret: bytes) -> bytes:
+    """Returns the public key, or nothing for a malformed secret."""
     if len(secret) != _KEY_SIZE:
-        return False
+        return b''
     try:
-        return bool(zmq.curve_public(secret) == public)
+        return bytes(zmq.curve_public(secret))
     except (ValueError, KeyError, zmq.ZMQError):
-        return False
+        return b''
