--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -9,17 +9,13 @@
 
 from anvilthread.address import Address
 from demo.firm import Firm, Service
+from demo.node_probe import NodeProbe
 from demo.processes import Processes
+from demo.settings_files import REQUEST_PORT, SettingsFiles
 from demo.trace import Trace
 
-_CONTROL: Final = 7946
-_REQUEST: Final = 7947
-_DATA: Final = 7001
-_METRICS: Final = 9100
 _TARGET: Final = 8080
-_STORE: Final = 8500
 _FABRIC_CONTROL: Final = 7900
-_POLL_S: Final = 0.1
 
 
 class Cluster:
@@ -33,6 +29,7 @@
     def __init__(self, *, firm: Firm, directory: Path) -> None:
         self.firm = firm
         self._directory = directory
+        self._files = SettingsFiles(firm=firm, directory=directory)
         self._balancers: list[int] = []
         self._revision = 0
         self._targets: dict[int, tuple[Service, ...]] = {}
@@ -44,13 +41,13 @@
     @property
     def keys(self) -> Path:
         """The key file."""
-        return self._directory / 'keys.toml'
+        return self._files.keys
 
     def start(self) -> None:
         """Starts store, fabric, three balancers and all targets."""
         self._write_shared_files()
         self.processes.start(
-            'store', 'standins.store', '--listen', self._store_address
+            'store', 'standins.store', '--listen', self._files.store
         )
         for number in (1, 2, 3):
             self.add_balancer(number, announce=False)
@@ -89,9 +86,7 @@
         """
         ip = self.firm.ip(1, number)
         settings = {
-            **self._node_settings(
-                f'balancer-{number}', ip, number, files=files
-            ),
+            **self._files.node(f'balancer-{number}', ip, number, files=files),
             'listen_ip': ip,
         }
         self._run('balancer', f'balancer-{number}', settings)
@@ -147,7 +142,7 @@
         self._targets[number] = services
         self.start_target_process(number)
         settings = {
-            **self._node_settings(
+            **self._files.node(
                 f'agent-{number}',
                 self.firm.ip(2, number),
                 number,
@@ -157,8 +152,8 @@
             'services': [service.name for service in services],
             'target': f'{self.firm.ip(3, number)}:{_TARGET}',
             'slots': self.firm.slots,
-            'certificate': str(self._directory / 'certificate.pem'),
-            'certificate_key': str(self._directory / 'certificate-key.pem'),
+            'certificate': str(self._files.certificate),
+            'certificate_key': str(self._files.certificate_key),
             'stop_deadline_ms': 2000,
         }
         self._run('agent', f'agent-{number}', settings)
@@ -184,7 +179,7 @@
             'anvilthread',
             'target',
             'drain',
-            f'{self.firm.ip(2, number)}:{_REQUEST}',
+            f'{self.firm.ip(2, number)}:{REQUEST_PORT}',
             '--keys',
             str(self.keys),
         )
@@ -199,7 +194,7 @@
     def set_store(self, **faults: object) -> None:
         """Switches faults of the store."""
         request = Request(
-            f'http://{self._store_address}/control/faults',
+            f'http://{self._files.store}/control/faults',
             data=json.dumps(faults).encode(),
             method='PUT',
         )
@@ -218,7 +213,7 @@
         Raises:
             TimeoutError: If that takes more than 30 s.
         """
-        directory = self._directory / 'configuration'
+        directory = self._files.configuration
         text = self.firm.configuration().replace(
             'stream_paths', f'deadline_ms = {deadline_ms}\nstream_paths'
         )
@@ -229,7 +224,7 @@
             'apply',
             str(directory),
             '--store',
-            f'http://{self._store_address}',
+            f'http://{self._files.store}',
             '--operator',
             'demo',
         )
@@ -240,31 +235,27 @@
         )
         for kind, numbers in ((1, self._balancers), (2, self._live_targets())):
             for number in numbers:
-                self._wait_revision(kind, number)
+                self.probe(kind, number).wait_revision()
         return time.monotonic() - applied_s
 
     def connections(self) -> dict[int, int]:
         """Open connections of every target by the agents' metrics."""
         return {
-            number: int(self._metric(2, number, 'anvilthread_connections'))
+            number: int(self.probe(2, number).metric('anvilthread_connections'))
             for number in self._live_targets()
         }
 
+    def probe(self, kind: int, number: int) -> NodeProbe:
+        """Returns the way to ask a node over HTTP."""
+        return NodeProbe(ip=self.firm.ip(kind, number))
+
     def wait_ready(self, kind: int, number: int) -> None:
         """Waits until a node is ready for traffic.
 
         Raises:
             TimeoutError: If that takes more than 30 s.
         """
-        url = f'http://{self.firm.ip(kind, number)}:{_METRICS}/ready'
-        for _ in range(300):
-            try:
-                urlopen(url, timeout=1).close()
-            except OSError:
-                pause()
-            else:
-                return
-        raise TimeoutError(url)
+        self.probe(kind, number).wait_ready()
 
     def wait_all_ready(self) -> None:
         """Waits until every node is ready."""
@@ -325,70 +316,19 @@
         directory.mkdir(exist_ok=True)
         now_ms = int(time.time() * 1000)
         for number in self._live_targets():
-            url = f'http://{self.firm.ip(2, number)}:{_METRICS}/metrics'
             path = directory / f'agent-{number}@{now_ms}.prom'
-            with urlopen(url, timeout=5) as answer:
-                path.write_bytes(answer.read())
-
-    def _wait_revision(self, kind: int, number: int) -> None:
-        name = 'anvilthread_configuration_revision'
-        for _ in range(300):
-            if self._metric(kind, number, name):
-                return
-            pause()
-        raise TimeoutError(f'{self.firm.ip(kind, number)} has no revision')
-
-    def _metric(self, kind: int, number: int, name: str) -> float:
-        url = f'http://{self.firm.ip(kind, number)}:{_METRICS}/metrics'
-        with urlopen(url, timeout=5) as answer:
-            for line in answer.read().decode().splitlines():
-                if line.startswith((f'{name} ', f'{name}{{')):
-                    return float(line.rpartition(' ')[2])
-        return 0
-
-    @property
-    def _store_address(self) -> str:
-        return f'{self.firm.ip(8, 1)}:{_STORE}'
-
-    def _node_settings(
-        self, name: str, ip: str, number: int, *, files: bool
-    ) -> dict[str, object]:
-        sites = self.firm.sites
-        configuration = str(self._directory / 'configuration')
-        local = {'configuration': configuration} if files else {}
-        return {
-            'name': name,
-            'site': sites[(number - 1) % len(sites)],
-            'control': f'{ip}:{_CONTROL}',
-            'data': f'{ip}:{_DATA}',
-            'request': f'{ip}:{_REQUEST}',
-            'metrics': f'{ip}:{_METRICS}',
-            'seeds': [
-                f'{self.firm.ip(kind, seed)}:{_CONTROL}'
-                for kind, seed in ((1, 1), (1, 2), (1, 3), (2, 1))
-            ],
-            'keys': str(self.keys),
-            'store': f'http://{self._store_address}',
-            **local,
-        }
+            path.write_bytes(self.probe(2, number).metrics())
 
     def _run(
         self, command: str, name: str, settings: dict[str, object]
     ) -> None:
-        path = self._directory / f'{name}.toml'
-        # JSON strings, numbers and flat lists are valid TOML values.
-        path.write_text(
-            ''.join(
-                f'{key} = {json.dumps(content)}\n'
-                for key, content in settings.items()
-            )
-        )
+        path = self._files.write(name, settings)
         self.processes.start(
             name, 'anvilthread', command, '--settings', str(path)
         )
 
     def _write_shared_files(self) -> None:
-        configuration = self._directory / 'configuration'
+        configuration = self._files.configuration
         configuration.mkdir(exist_ok=True)
         (configuration / 'base.toml').write_text(self.firm.configuration())
         self.processes.call(
@@ -397,14 +337,9 @@
             'new',
             str(self.keys),
             '--certificate',
-            str(self._directory / 'certificate.pem'),
+            str(self._files.certificate),
             '--certificate-key',
-            str(self._directory / 'certificate-key.pem'),
+            str(self._files.certificate_key),
             '--host',
             'anvilthread.test',
         )
-
-
-def pause() -> None:
-    """Waits between two looks at a process that is starting."""
-    time.sleep(_POLL_S)
