--- a/benchmarks/fuzz.py
+++ b/benchmarks/fuzz.py
@@ -81,6 +81,7 @@
     wire = _TAGS.encode_raw(
         kind=fields[0],
         service=int.from_bytes(fields[1:3], 'big'),
+        service_address=fields[3:9],
         client=fields[3:9],
         balancer=fields[3:9],
         payload=datagram,
