--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,4 @@
 binary: setup
 	$(PYTHON) -m tools.binary dist/anvilthread
 	$(PYTHON) -I -S tools/smoke_test.py dist/anvilthread
+	$(PYTHON) -m tools.serve_test dist/anvilthread
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -21,12 +21,16 @@
         self._directory = directory
         self._running: dict[str, subprocess.Popen[bytes]] = {}
 
+    def command(self, module: str) -> tuple[str, ...]:
+        """The command that runs a module."""
+        return (sys.executable, '-m', module)
+
     def start(self, name: str, module: str, *arguments: str) -> None:
         """Runs a module of this project in a process of its own."""
         path = self._directory / f'{name}.log'
         with path.open('ab') as output:
             self._running[name] = subprocess.Popen(
-                (sys.executable, '-m', module, *arguments),
+                (*self.command(module), *arguments),
                 stdout=output,
                 stderr=subprocess.STDOUT,
                 env={**os.environ, 'PYTHONHASHSEED': '0'},
@@ -39,7 +43,7 @@
             subprocess.CalledProcessError: If it fails.
         """
         done = subprocess.run(
-            (sys.executable, '-m', module, *arguments),
+            (*self.command(module), *arguments),
             check=True,
             capture_output=True,
             timeout=_EXIT_LIMIT_S,
