Take the bound of request bodies from one constant

The queue of a stream and the request handler each had a limit of 1 MiB, and a body is refused correctly only while the two agree. The queue now uses the handler's. An unused property of the handover is gone. No behaviour changes; the tests keep their assertions.

--- a/anvilthread/agent/body.py
+++ b/anvilthread/agent/body.py
@@ -1,16 +1,16 @@
 """The body of a request while it arrives."""
 
-from typing import Final
-
 from gevent.queue import Queue
 
-#: Largest request body in bytes. aioquic extends the client's flow-control
-#: window as soon as data arrives, so the size has to be bounded here.
-MAX_BODY_SIZE: Final = 1 << 20
+from anvilthread.outcomes.request_handler import MAX_BODY_BYTES
 
 
 class Body:
-    """Queue of body chunks between the connection task and a request task."""
+    """Queue of body chunks between the connection task and a request task.
+
+    aioquic extends the client's flow-control window as soon as data arrives,
+    so the size has to be bounded here, by the limit of the request handler.
+    """
 
     __slots__ = ('_chunks', '_ended', '_size')
 
@@ -22,7 +22,7 @@
     @property
     def is_too_large(self) -> bool:
         """Whether more than the largest body has arrived."""
-        return self._size > MAX_BODY_SIZE
+        return self._size > MAX_BODY_BYTES
 
     def feed(self, chunk: bytes) -> None:
         """Adds data that arrived from the client.
--- a/anvilthread/agent/stream_body.py
+++ b/anvilthread/agent/stream_body.py
@@ -1,8 +1,9 @@
 """A request body on an HTTP/3 stream."""
 
-from anvilthread.agent.body import MAX_BODY_SIZE, Body
+from anvilthread.agent.body import Body
 from anvilthread.agent.h3_stream import H3Stream
 from anvilthread.outcomes import ClientGoneError
+from anvilthread.outcomes.request_handler import MAX_BODY_BYTES
 
 
 class StreamBody:
@@ -38,7 +39,7 @@
             # What followed was dropped, so the end that was read is not the
             # end of the body.
             raise ClientGoneError(
-                reason=f'the body is longer than {MAX_BODY_SIZE} bytes',
+                reason=f'the body is longer than {MAX_BODY_BYTES} bytes',
                 remedy='send less, or several requests',
             )
         if not self._rest and self._stream.cancelled.is_set():
--- a/anvilthread/outcomes/handover/node.py
+++ b/anvilthread/outcomes/handover/node.py
@@ -55,11 +55,6 @@
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Packet)
 
-    @property
-    def open_channels(self) -> int:
-        """Number of channels that have not ended."""
-        return len(self._channels)
-
     def connect(self, address: Address) -> Channel:
         """Opens a channel for one offer to another agent."""
         number = next(self._numbers)
--- a/tests/agent/test_stream_body.py
+++ b/tests/agent/test_stream_body.py
@@ -5,7 +5,7 @@
 import pytest
 from gevent.event import Event
 
-from anvilthread.agent.body import MAX_BODY_SIZE, Body
+from anvilthread.agent.body import Body
 from anvilthread.agent.stream_body import StreamBody
 from anvilthread.clock import ManualClock
 from anvilthread.outcomes import (
@@ -17,6 +17,7 @@
     RequestHandler,
     SingleAnswer,
 )
+from anvilthread.outcomes.request_handler import MAX_BODY_BYTES
 from standins.collected_answer import CollectedAnswer
 from standins.requests import run_request
 
@@ -60,9 +61,9 @@
     [
         (0, [0]),
         (10, [10]),
-        (MAX_BODY_SIZE, [MAX_BODY_SIZE]),
-        (MAX_BODY_SIZE + 1, []),
-        (3 * MAX_BODY_SIZE, []),
+        (MAX_BODY_BYTES, [MAX_BODY_BYTES]),
+        (MAX_BODY_BYTES + 1, []),
+        (3 * MAX_BODY_BYTES, []),
     ],
 )
 def test_body_runs_whole_or_not_at_all(size: int, ran: list[int]) -> None:
@@ -79,7 +80,7 @@
 
 def test_stream_with_a_long_body_ends_in_an_error() -> None:
     """Guards against a stream whose body ends early without a sign."""
-    body = _body(2 * MAX_BODY_SIZE)
+    body = _body(2 * MAX_BODY_BYTES)
     with pytest.raises(ClientGoneError, match='longer than'):
         for _ in range(100):
             body.read(_CHUNK)
