--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
-SOURCES = anvilthread standins demo benchmarks examples tests tools
+SOURCES = anvilthread platform standins demo benchmarks examples tests tools
 
 .PHONY: setup test lint format types demo bench binary
 
--- a/anvilthread/agent/agent_metrics.py
+++ b/anvilthread/agent/agent_metrics.py
@@ -8,7 +8,7 @@
 from anvilthread.outcomes import Outcome, OutcomeKind
 from anvilthread.reports.connection_events import CloseReason
 from anvilthread.reports.request_events import RecordedOutcome
-from anvilthread.telemetry import Metrics
+from anvilthread.telemetry.metrics import Metrics
 
 _MS_PER_SECOND: Final = 1000
 
--- a/anvilthread/commands/store_gateway.py
+++ b/anvilthread/commands/store_gateway.py
@@ -24,7 +24,7 @@
 from anvilthread.configuration.texts import BASE_FILE
 from anvilthread.daemon.local_configuration import read_texts
 from anvilthread.error import AnvilthreadError
-from anvilthread.store import ConsulStore
+from anvilthread.store.consul_store import ConsulStore
 
 
 class RevisionMissingError(AnvilthreadError):
--- a/anvilthread/daemon/configuration_task.py
+++ b/anvilthread/daemon/configuration_task.py
@@ -13,7 +13,8 @@
 from anvilthread.daemon.local_configuration import read_local_configuration
 from anvilthread.daemon.node import Node
 from anvilthread.membership import MemberChange
-from anvilthread.store import ConsulStore, Store
+from anvilthread.store import Store
+from anvilthread.store.consul_store import ConsulStore
 from anvilthread.store.no_store import NoStore
 from anvilthread.transport import ChannelName
 
--- a/anvilthread/daemon/node.py
+++ b/anvilthread/daemon/node.py
@@ -24,13 +24,11 @@
 from anvilthread.routing.connection_id_codec import ConnectionIdCodec
 from anvilthread.routing.encapsulation_codec import EncapsulationCodec
 from anvilthread.settings import KeyFile, Keys, NodeSettings
-from anvilthread.telemetry import (
-    AbslLog,
-    Health,
-    LogSink,
-    Metrics,
-    TelemetryServer,
-)
+from anvilthread.telemetry.absl_log import AbslLog
+from anvilthread.telemetry.health import Health
+from anvilthread.telemetry.log_sink import LogSink
+from anvilthread.telemetry.metrics import Metrics
+from anvilthread.telemetry.telemetry_server import TelemetryServer
 from anvilthread.transport import (
     ChannelName,
     Channels,
--- a/anvilthread/daemon/packet_metrics.py
+++ b/anvilthread/daemon/packet_metrics.py
@@ -4,7 +4,7 @@
 
 from anvilthread.routing.packet_counters import PacketCounters
 from anvilthread.routing.packet_fate import PacketFate
-from anvilthread.telemetry import Metrics
+from anvilthread.telemetry.metrics import Metrics
 
 
 class PacketMetrics:
--- /dev/null
+++ b/anvilthread/flow_node/balancer_process.py
@@ -0,0 +1,95 @@
+"""The balancer of flows as a process."""
+
+from collections.abc import Callable
+from typing import Any, Final
+
+import gevent
+
+from anvilthread.flow_node.flow_node_settings import FlowNodeSettings
+from anvilthread.flow_node.flow_process import FlowProcess
+from anvilthread.flows.configuration_source import ConfigurationSource
+from anvilthread.flows.flow_balancer import FlowBalancer
+from anvilthread.flows.flow_placement import FlowPlacement
+from anvilthread.flows.messages import AnyMessage
+from anvilthread.flows.packet_form import PacketForm
+from anvilthread.flows.packet_messages import Refused
+from anvilthread.flows.rendezvous_finder import RendezvousFinder
+from anvilthread.flows.search_messages import Absent, Held, NotHeld
+
+#: Period in which unconfirmed placements are checked.
+_TICK_MS: Final = 20
+
+#: Time from SIGTERM to the exit: routers take a node out after two misses of
+#: probes that come twice per second.
+_WITHDRAWAL_MS: Final = 1800
+
+
+class BalancerProcess:
+    """Receives packets of clients and hands them to agents.
+
+    Args:
+        settings: Settings of the process, with a data address.
+        form: Codec of the packets.
+    """
+
+    __slots__ = ('_balancer', '_form', '_handlers', 'process')
+
+    def __init__(self, *, settings: FlowNodeSettings, form: PacketForm) -> None:
+        assert settings.data_address is not None
+        self._form = form
+        self.process = FlowProcess(
+            settings=settings, packet_endpoint=settings.data_address
+        )
+        process = self.process
+        self._balancer = FlowBalancer(
+            clock=process.clock,
+            network=process.network,
+            form=form,
+            routes=process.routes,
+            placement=FlowPlacement(
+                clock=process.clock,
+                random=process.random,
+                roster=process.roster,
+            ),
+            finder=RendezvousFinder(clock=process.clock, roster=process.roster),
+            log=process.log,
+            counters=process.counters,
+        )
+        self._handlers: dict[type, Callable[[str, Any], None]] = {
+            Held: self._balancer.on_held,
+            NotHeld: self._balancer.on_not_held,
+            Refused: self._balancer.on_refused,
+            Absent: self._balancer.on_absent,
+        }
+
+    def start(self, source: ConfigurationSource) -> None:
+        """Starts all tasks."""
+        self.process.start(source, self._on_message)
+        gevent.spawn(self.process.packets.serve, self._on_packet)
+        self.process.every(_TICK_MS, self._balancer.tick)
+
+    def wait(self) -> None:
+        """Returns once the process may exit after SIGTERM."""
+        process = self.process
+        process.stopping.wait()
+        process.log.event('process_stopping', flows=self._balancer.flow_count)
+        process.clock.sleep_ms(
+            min(_WITHDRAWAL_MS, process.settings.stop_ms / 2)
+        )
+        process.leave(returns=False)
+        process.log.event('process_stopped')
+        process.log.flush()
+
+    def _on_packet(self, content: bytes, _host: str) -> None:
+        packet = self._form.from_client(content)
+        if packet is None:
+            self.process.counters.add('packets_malformed')
+        else:
+            self._balancer.on_packet(packet)
+
+    def _on_message(self, host: str, message: AnyMessage) -> None:
+        handle = self._handlers.get(type(message))
+        if handle is None:
+            self.process.counters.add('messages_misdirected')
+        else:
+            handle(host, message)
--- /dev/null
+++ b/anvilthread/flow_node/flow_process.py
@@ -0,0 +1,227 @@
+"""What the balancer and the agent of flows have in common."""
+
+import signal
+from collections.abc import Callable
+from random import Random
+from typing import Final
+
+import gevent
+import msgspec
+from gevent.event import Event
+
+from anvilthread.clock import SystemClock
+from anvilthread.flow_node.datagram_port import DatagramPort
+from anvilthread.flow_node.document_port import DocumentPort
+from anvilthread.flow_node.flow_node_settings import FlowNodeSettings
+from anvilthread.flow_node.line_log import LineLog
+from anvilthread.flow_node.node_network import NodeNetwork
+from anvilthread.flows.configuration_follower import ConfigurationFollower
+from anvilthread.flows.configuration_source import ConfigurationSource
+from anvilthread.flows.flow_counters import FlowCounters
+from anvilthread.flows.introducer import Introducer
+from anvilthread.flows.message_codec import decode_message
+from anvilthread.flows.messages import AnyMessage
+from anvilthread.flows.node_messages import Hello, Leaving, LoadReport, Peers
+from anvilthread.flows.node_record import NodeRecord
+from anvilthread.flows.packet_messages import Place, Refused
+from anvilthread.flows.roster import Roster
+from anvilthread.flows.route_holder import RouteHolder
+
+#: Period of the task that greets nodes.
+_GREETING_MS: Final = 100
+
+#: Period in which collected log lines are written.
+_FLUSH_MS: Final = 200
+
+_STDOUT: Final = 1
+_INCARNATION_BITS: Final = 40
+
+MessageHandler = Callable[[str, AnyMessage], None]
+
+
+class FlowProcess:
+    """Roster, configuration, log and signals of one process.
+
+    Args:
+        settings: Settings of the process.
+        packet_endpoint: Host and port from which packets are sent, and at
+            which those of clients (balancer) or the target (agent) arrive.
+    """
+
+    __slots__ = (
+        'clock',
+        'counters',
+        'introducer',
+        'log',
+        'network',
+        'packets',
+        'random',
+        'roster',
+        'routes',
+        'settings',
+        'stopping',
+        '_follower',
+        '_handle',
+        '_nodes',
+    )
+
+    def __init__(
+        self, *, settings: FlowNodeSettings, packet_endpoint: tuple[str, int]
+    ) -> None:
+        self.settings = settings
+        self.clock = SystemClock()
+        self.random = Random()
+        self.log = LineLog(
+            node=settings.name, clock=self.clock, descriptor=_STDOUT
+        )
+        self.counters = FlowCounters()
+        self.stopping = Event()
+        self._nodes = DatagramPort(
+            endpoint=(settings.host, settings.node_port), log=self.log
+        )
+        self.packets = DatagramPort(endpoint=packet_endpoint, log=self.log)
+        self.network = NodeNetwork(
+            nodes=self._nodes,
+            packets=self.packets,
+            node_port=settings.node_port,
+            client_port=settings.client_port,
+            target=settings.target_address,
+        )
+        self.roster = Roster(
+            clock=self.clock, own=self._own_record(), log=self.log
+        )
+        self.routes = RouteHolder(clock=self.clock, log=self.log)
+        self.introducer = Introducer(
+            clock=self.clock,
+            random=self.random,
+            network=self.network,
+            roster=self.roster,
+            routes=self.routes,
+        )
+        self.introducer.add_contacts(settings.contacts)
+        self._follower: ConfigurationFollower | None = None
+        self._handle: MessageHandler | None = None
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether configuration and peers are known and no stop is due."""
+        return (
+            self.routes.is_loaded
+            and not self.roster.is_alone
+            and not self.stopping.is_set()
+        )
+
+    def start(
+        self, source: ConfigurationSource, handle: MessageHandler
+    ) -> None:
+        """Starts the common tasks.
+
+        Args:
+            source: Where the configuration is read.
+            handle: Takes the messages about flows.
+        """
+        settings = self.settings
+        self._follower = ConfigurationFollower(
+            clock=self.clock,
+            random=self.random,
+            source=source,
+            routes=self.routes,
+            roster=self.roster,
+            introducer=self.introducer,
+            log=self.log,
+        )
+        documents = DocumentPort(
+            endpoint=(settings.host, settings.node_port), routes=self.routes
+        )
+        documents.start()
+        gevent.signal_handler(signal.SIGTERM, self.stopping.set)
+        self._handle = handle
+        gevent.spawn(self._nodes.serve, self._dispatch)
+        gevent.spawn(self._follower.follow_store)
+        gevent.spawn(self._follower.follow_peers)
+        self.every(_GREETING_MS, self.introducer.tick)
+        self.every(_FLUSH_MS, self.log.flush)
+        self.log.event(
+            'process_started',
+            role=settings.role.name.lower(),
+            host=settings.host,
+            service=settings.service,
+            contacts=','.join(settings.contacts),
+            incarnation=self.roster.own.incarnation,
+        )
+
+    def every(self, period_ms: int, run: Callable[[], None]) -> None:
+        """Starts a task that repeats."""
+        gevent.spawn(self._repeat, period_ms, run)
+
+    def leave(self, *, returns: bool) -> None:
+        """Tells every node that this process stops.
+
+        Args:
+            returns: Whether the target keeps its flows meanwhile.
+        """
+        message = Leaving(node=self.roster.own, returns=returns)
+        for node in self.roster.nodes:
+            self.network.send_node(node.host, message)
+
+    def _repeat(self, period_ms: int, run: Callable[[], None]) -> None:
+        while True:
+            try:
+                run()
+            except Exception as error:  # noqa: BLE001
+                # The next round must still come.
+                self.log.warning(
+                    'periodic_task_failed',
+                    task=run.__qualname__,
+                    reason=repr(error),
+                    remedy='report this line to the maintainers',
+                )
+            self.clock.sleep_ms(period_ms)
+
+    def _own_record(self) -> NodeRecord:
+        settings = self.settings
+        return NodeRecord(
+            host=settings.host,
+            role=settings.role,
+            site=settings.site,
+            service=settings.service,
+            incarnation=self.random.getrandbits(_INCARNATION_BITS),
+        )
+
+    def _dispatch(self, content: bytes, host: str) -> None:
+        try:
+            message = decode_message(content)
+        except msgspec.DecodeError as error:
+            self.counters.add('messages_malformed')
+            self.log.event('message_malformed', sender=host, reason=str(error))
+            return
+        if not self._take_membership(host, message) and self._handle:
+            self._handle(host, message)
+
+    def _take_membership(self, host: str, message: AnyMessage) -> bool:
+        """Handles messages about nodes; returns whether it was one."""
+        if isinstance(message, LoadReport):
+            self.roster.take_report(message)
+            self._note(host, message.version, message.checked_ms)
+            return True
+        if isinstance(message, Hello):
+            self.introducer.on_hello(host, message)
+            self._note(host, message.version, message.checked_ms)
+            return True
+        if isinstance(message, Peers):
+            self.introducer.on_peers(message)
+            self._note(host, message.version, message.checked_ms)
+            return True
+        if isinstance(message, Leaving):
+            node = self.roster.hear(message.node)
+            if node is not None:
+                node.leave()
+                self.log.event('node_leaving', host=host)
+            return True
+        if isinstance(message, Place | Refused):
+            self._note(host, message.version, -1)
+        return False
+
+    def _note(self, host: str, version: int, checked_ms: int) -> None:
+        if self._follower is not None:
+            self._follower.on_version(host, version, checked_ms)
--- /dev/null
+++ b/anvilthread/flows/balancer_flow.py
@@ -0,0 +1,44 @@
+"""What a balancer remembers of one flow."""
+
+from anvilthread.flows.flow_key import FlowKey
+
+
+class BalancerFlow:
+    """The agent of a flow and the state of its placement.
+
+    Args:
+        key: The flow.
+        agent: Host of the agent.
+        service: Service of the flow.
+        now_ms: Time of the first packet.
+    """
+
+    __slots__ = (
+        'agent',
+        'is_closing',
+        'is_held',
+        'key',
+        'opening',
+        'placed_ms',
+        'service',
+        'tried',
+        'used_ms',
+    )
+
+    def __init__(
+        self, *, key: FlowKey, agent: str, service: str, now_ms: int
+    ) -> None:
+        self.key = key
+        #: Host of the agent that holds the flow or was asked to take it.
+        self.agent = agent
+        self.service = service
+        #: Whether the agent has confirmed that its target holds the flow.
+        self.is_held = False
+        #: Whether the client has sent its last byte.
+        self.is_closing = False
+        #: Opening packet while the flow is not confirmed; empty otherwise.
+        self.opening = b''
+        #: Agents that have refused the flow or not answered.
+        self.tried: set[str] = set()
+        self.placed_ms = now_ms
+        self.used_ms = now_ms
--- /dev/null
+++ b/anvilthread/flows/flow_agent.py
@@ -0,0 +1,289 @@
+"""The agent of flows that are known by an address pair."""
+
+from anvilthread.clock import Clock
+from anvilthread.flows.agent_flow import AgentFlow
+from anvilthread.flows.agent_flow_table import AgentFlowTable
+from anvilthread.flows.flow_counters import FlowCounters
+from anvilthread.flows.flow_key import FlowKey, flow_name
+from anvilthread.flows.flow_network import FlowNetwork
+from anvilthread.flows.flow_packet import FlowPacket
+from anvilthread.flows.holder_search import HolderSearch
+from anvilthread.flows.node_messages import LoadReport
+from anvilthread.flows.packet_form import PacketForm
+from anvilthread.flows.packet_messages import Forward, Place, Refused
+from anvilthread.flows.roster import Roster
+from anvilthread.flows.route_holder import RouteHolder
+from anvilthread.flows.search_messages import Ask, Find, Held, NotHeld
+from anvilthread.flows.target_watch import TargetWatch
+from anvilthread.telemetry.log import Log
+
+
+class FlowAgent:
+    """Hands packets to the target, and knows which flows it holds.
+
+    The table of flows is only complete once every flow of the target has
+    sent a packet through this process. Until then, the target itself is
+    asked by offering it the packet: it returns what it does not hold.
+
+    Args:
+        clock: Source of time.
+        network: Where messages and packets go.
+        form: Codec of the packets.
+        routes: Configuration in force.
+        roster: Other agents of the service.
+        target: State of the target.
+        log: Receives one line per decision.
+        counters: Counts of decisions.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_counters',
+        '_flows',
+        '_form',
+        '_is_stopping',
+        '_log',
+        '_network',
+        '_roster',
+        '_routes',
+        '_search',
+        '_sequence',
+        '_service',
+        '_started_ms',
+        '_target',
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        network: FlowNetwork,
+        form: PacketForm,
+        routes: RouteHolder,
+        roster: Roster,
+        target: TargetWatch,
+        log: Log,
+        counters: FlowCounters,
+    ) -> None:
+        self._clock = clock
+        self._network = network
+        self._form = form
+        self._routes = routes
+        self._roster = roster
+        self._target = target
+        self._log = log
+        self._counters = counters
+        self._service = roster.own.service
+        self._flows = AgentFlowTable(clock=clock, routes=routes)
+        self._search = HolderSearch(
+            clock=clock,
+            network=network,
+            form=form,
+            roster=roster,
+            on_claim=self._claim,
+            log=log,
+            counters=counters,
+        )
+        self._sequence = 0
+        self._started_ms = clock.now_ms()
+        self._is_stopping = False
+
+    @property
+    def flows(self) -> AgentFlowTable:
+        """Flows of the target, as far as they are known."""
+        return self._flows
+
+    @property
+    def accepts(self) -> bool:
+        """Whether new flows may be placed here."""
+        return self._target.accepts and not self._is_stopping
+
+    @property
+    def search(self) -> HolderSearch:
+        """Search for flows that this or another agent holds."""
+        return self._search
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether every flow of the target is in the table."""
+        if self._target.is_newborn:
+            return True
+        uptime_ms = self._clock.now_ms() - self._started_ms
+        return uptime_ms > self._routes.table.idle_ms
+
+    def stop(self) -> None:
+        """Refuses new flows from now on."""
+        self._is_stopping = True
+
+    def report(self) -> LoadReport:
+        """Describes the load of the target."""
+        self._sequence += 1
+        return LoadReport(
+            node=self._roster.own,
+            sequence=self._sequence,
+            accepts=self.accepts,
+            working=self._flows.meter.working + self._flows.opening,
+            busy=round(self._flows.meter.mean, 3),
+            flows=self._flows.long_flows,
+            slots=self._target.slots,
+            cold_ms=self._target.cold_ms,
+            version=self._routes.table.version,
+            checked_ms=self._routes.checked_ms,
+        )
+
+    def on_place(self, host: str, message: Place) -> None:
+        """Hands an opening packet to the target, or refuses it."""
+        packet = self._form.from_client(message.packet)
+        if packet is None:
+            self._counters.add('packets_malformed')
+            return
+        reason = self._refusal(packet, message)
+        if reason:
+            self._refuse(host, packet, reason)
+            return
+        flow = self._flows.get(packet.key)
+        if flow is None or flow.is_closing:
+            flow = self._flows.add(packet.key, host)
+        flow.balancer = host
+        self._network.send_target(packet.content)
+
+    def on_forward(self, host: str, message: Forward) -> None:
+        """Hands a packet of a flow that the sender assigns to this agent."""
+        packet = self._form.from_client(message.packet)
+        if packet is None:
+            self._counters.add('packets_malformed')
+        elif message.service == self._service:
+            flow = self._flows.get(packet.key)
+            if flow is None:
+                flow = self._flows.add(packet.key, host)
+            flow.balancer = host
+            self._deliver(packet, flow)
+        else:
+            self._network.send_node(host, NotHeld(key=packet.key))
+
+    def on_find(self, host: str, message: Find) -> None:
+        """Looks for the holder of a flow among the agents of the service."""
+        packet = self._form.from_client(message.packet)
+        if packet is None or message.service != self._service:
+            self._counters.add('packets_misdirected')
+            return
+        flow = self._flows.get(packet.key)
+        if flow is not None and flow.is_open:
+            flow.balancer = host
+            self._send_held(host, packet.key)
+            self._deliver(packet, flow)
+            return
+        self._search.start(host, packet, offers_own=self._may_hold())
+
+    def on_ask(self, host: str, message: Ask) -> None:
+        """Answers whether the target holds a flow."""
+        packet = self._form.from_client(message.packet)
+        if packet is None:
+            self._counters.add('packets_malformed')
+            return
+        flow = self._flows.get(packet.key)
+        if message.service != self._service:
+            self._network.send_node(host, NotHeld(key=packet.key))
+        elif flow is not None and flow.is_open:
+            flow.balancer = message.balancer
+            self._send_held(message.balancer, packet.key)
+            self._send_held(host, packet.key)
+            self._deliver(packet, flow)
+        elif not self._may_hold():
+            self._network.send_node(host, NotHeld(key=packet.key))
+        else:
+            self._search.offer(host, packet, message.balancer)
+
+    def on_target_packet(self, packet: FlowPacket) -> None:
+        """Handles a packet that the target has sent."""
+        if packet.is_bounced:
+            self._on_bounced(packet)
+            return
+        self._target.on_packet()
+        flow = self._flows.get(packet.key)
+        if flow is None:
+            flow = self._flows.add(packet.key, '')
+        if not flow.is_open:
+            flow.is_open = True
+            if flow.balancer:
+                self._send_held(flow.balancer, packet.key)
+        self._flows.note_target(packet, flow)
+        self._network.send_client(packet.key, packet.content)
+
+    def on_target_restart(self, reason: str) -> None:
+        """Resets the flows of a target that has lost them."""
+        for key, flow in self._flows.items():
+            self._flows.remove(key)
+            if flow.is_open and not flow.is_closing:
+                self._reset(key, flow.acknowledged, reason)
+
+    def _refusal(self, packet: FlowPacket, message: Place) -> str:
+        """Returns why a new flow cannot be taken; empty if it can."""
+        if message.service != self._service:
+            return 'other_service'
+        if self._is_stopping:
+            return 'stopping'
+        if self._target.is_draining:
+            return 'draining'
+        table = self._routes.table
+        if table.version >= message.version:
+            route = table.route_of(packet.key)
+            if route is None or not route.serves(self._service):
+                return 'no_route'
+        return ''
+
+    def _refuse(self, host: str, packet: FlowPacket, reason: str) -> None:
+        refused = Refused(
+            packet=packet.content,
+            reason=reason,
+            version=self._routes.table.version,
+        )
+        self._network.send_node(host, refused)
+        self._event('flow_refused', packet.key, reason=reason, balancer=host)
+
+    def _deliver(self, packet: FlowPacket, flow: AgentFlow) -> None:
+        self._flows.note_client(packet, flow)
+        self._network.send_target(packet.content)
+
+    def _claim(self, key: FlowKey, balancer: str) -> None:
+        """Takes a flow over whose offered packet the target has kept."""
+        flow = self._flows.get(key)
+        if flow is None:
+            flow = self._flows.add(key, balancer)
+        flow.is_open = True
+        flow.balancer = balancer
+
+    def _may_hold(self) -> bool:
+        """Whether the target may hold flows that are not in the table."""
+        return self._target.is_heard and not self.is_complete
+
+    def _on_bounced(self, packet: FlowPacket) -> None:
+        content = self._form.unbounced(packet.content)
+        original = self._form.from_client(content)
+        if original is None:
+            self._counters.add('packets_malformed')
+            return
+        if self._search.on_bounced(packet.mark):
+            return
+        flow = self._flows.get(original.key)
+        self._flows.remove(original.key)
+        balancer = '' if flow is None else flow.balancer
+        if not balancer:
+            self._counters.add('bounced_without_balancer')
+        elif original.opens:
+            self._refuse(balancer, original, 'target_full')
+        else:
+            self._network.send_node(balancer, NotHeld(key=original.key))
+            self._search.start(balancer, original, offers_own=False)
+
+    def _send_held(self, host: str, key: FlowKey) -> None:
+        self._network.send_node(host, Held(key=key, service=self._service))
+
+    def _reset(self, key: FlowKey, acknowledged: int, reason: str) -> None:
+        content = self._form.reset(key, acknowledged)
+        self._network.send_client(key, content)
+        self._event('flow_reset', key, reason=reason)
+
+    def _event(self, name: str, key: FlowKey, **fields: object) -> None:
+        self._counters.add(name)
+        self._log.event(name, flow=flow_name(key), **fields)
--- /dev/null
+++ b/anvilthread/flows/flow_placement.py
@@ -0,0 +1,66 @@
+"""The choice of an agent for a new flow."""
+
+from collections.abc import Collection
+from random import Random
+from typing import Final
+
+from anvilthread.clock import Clock
+from anvilthread.flows.known_node import KnownNode
+from anvilthread.flows.roster import Roster
+
+#: An agent whose last report is older is passed over while others are left;
+#: several reports were lost then, or the agent is down.
+_FRESH_MS: Final = 450
+
+#: Agents drawn at random, of which the least loaded is taken. Several
+#: balancers that all took the least loaded of all by the same report would
+#: send it a burst (Mitzenmacher, The Power of Two Choices, 2001).
+_DRAWN: Final = 3
+
+
+class FlowPlacement:
+    """Chooses among the agents of a service by their load.
+
+    Args:
+        clock: Clock for the age of reports.
+        random: Source of the draws.
+        roster: The agents and their reports.
+    """
+
+    __slots__ = ('_clock', '_random', '_roster')
+
+    def __init__(self, *, clock: Clock, random: Random, roster: Roster) -> None:
+        self._clock = clock
+        self._random = random
+        self._roster = roster
+
+    def choose(
+        self, service: str, excluded: Collection[str]
+    ) -> KnownNode | None:
+        """Returns an agent for a new flow, and counts it as sent there.
+
+        Args:
+            service: Service of the flow.
+            excluded: Hosts that have already refused or not answered.
+
+        Returns:
+            The agent, or None if none accepts new flows.
+        """
+        now_ms = self._clock.now_ms()
+        agents = [
+            node
+            for node in self._roster.agents(service)
+            if node.accepts and node.host not in excluded
+        ]
+        fresh = [node for node in agents if node.age_ms(now_ms) <= _FRESH_MS]
+        usable = fresh or agents
+        if not usable:
+            return None
+        drawn = self._random.sample(usable, min(_DRAWN, len(usable)))
+        chosen = min(drawn, key=_load)
+        chosen.count_send()
+        return chosen
+
+
+def _load(node: KnownNode) -> float:
+    return node.load
--- /dev/null
+++ b/anvilthread/flows/known_node.py
@@ -0,0 +1,130 @@
+"""What one node knows about another."""
+
+from typing import Final
+
+from anvilthread.flows.node_messages import LoadReport
+from anvilthread.flows.node_record import NodeRecord
+
+#: Share of a request that one flow placed since the last report stands for.
+#: Opening a flow takes a round trip, after which the report shows the work.
+_SEND_WEIGHT: Final = 0.7
+
+#: A cold target works this many times slower; the figure of the site files.
+_COLD_FACTOR: Final = 1.6
+
+#: Weights of the requests at work now and of their recent mean. Equal weights
+#: since either alone misleads: the count is old by up to a report period, and
+#: the mean is slow to show a new queue.
+_NOW_WEIGHT: Final = 0.5
+_MEAN_WEIGHT: Final = 0.5
+
+
+class KnownNode:
+    """A peer, its last report and what was sent to it since.
+
+    Args:
+        record: Identity of the peer.
+        heard_ms: Monotonic time of the last message from it; None if others
+            have told of it only.
+    """
+
+    __slots__ = (
+        '_heard_ms',
+        '_introductions',
+        '_is_leaving',
+        '_record',
+        '_report',
+        '_reported_ms',
+        '_sends',
+    )
+
+    def __init__(self, *, record: NodeRecord, heard_ms: int | None) -> None:
+        self._record = record
+        self._heard_ms = heard_ms
+        self._introductions = 0
+        self._is_leaving = False
+        self._report: LoadReport | None = None
+        self._reported_ms = 0
+        self._sends = 0
+
+    @property
+    def record(self) -> NodeRecord:
+        """Identity of the peer."""
+        return self._record
+
+    @property
+    def host(self) -> str:
+        """IPv4 address of the peer."""
+        return self._record.host
+
+    @property
+    def heard_ms(self) -> int | None:
+        """Monotonic time of the last message from the peer."""
+        return self._heard_ms
+
+    @property
+    def introductions(self) -> int:
+        """Unanswered introductions sent to the peer."""
+        return self._introductions
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the peer is stopping by request."""
+        return self._is_leaving
+
+    @property
+    def report(self) -> LoadReport | None:
+        """Last report of the peer."""
+        return self._report
+
+    @property
+    def accepts(self) -> bool:
+        """Whether the last report allows new flows."""
+        if self._is_leaving or self._report is None:
+            return False
+        return self._report.accepts
+
+    @property
+    def load(self) -> float:
+        """Expected requests per slot, own sends included."""
+        report = self._report
+        if report is None:
+            return 0
+        requests = (
+            _NOW_WEIGHT * report.working
+            + _MEAN_WEIGHT * report.busy
+            + _SEND_WEIGHT * self._sends
+        )
+        if report.cold_ms > 0:
+            requests = (requests + 1) * _COLD_FACTOR
+        return requests / max(report.slots, 1)
+
+    def age_ms(self, now_ms: int) -> int:
+        """Age of the last report."""
+        return now_ms - self._reported_ms
+
+    def hear(self, now_ms: int) -> None:
+        """Notes a message from the peer."""
+        self._heard_ms = now_ms
+        self._introductions = 0
+
+    def introduce(self) -> None:
+        """Counts an introduction sent to the peer."""
+        self._introductions += 1
+
+    def leave(self) -> None:
+        """Notes that the peer is stopping."""
+        self._is_leaving = True
+
+    def take(self, report: LoadReport, now_ms: int) -> None:
+        """Takes a report over, unless it is older than the last one."""
+        last = self._report
+        if last is not None and report.sequence <= last.sequence:
+            return
+        self._report = report
+        self._reported_ms = now_ms
+        self._sends = 0
+
+    def count_send(self) -> None:
+        """Counts a flow placed on the peer."""
+        self._sends += 1
--- /dev/null
+++ b/anvilthread/flows/message.py
@@ -0,0 +1,7 @@
+"""Base of the messages between nodes, each at most one datagram."""
+
+import msgspec
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True, tag=True, gc=False):
+    """Base of all messages."""
--- /dev/null
+++ b/anvilthread/flows/messages.py
@@ -0,0 +1,22 @@
+"""All messages between nodes."""
+
+from typing import TypeAlias
+
+from anvilthread.flows.node_messages import Hello, Leaving, LoadReport, Peers
+from anvilthread.flows.packet_messages import Forward, Place, Refused
+from anvilthread.flows.search_messages import Absent, Ask, Find, Held, NotHeld
+
+AnyMessage: TypeAlias = (
+    Forward
+    | Place
+    | Refused
+    | Absent
+    | Ask
+    | Find
+    | Held
+    | NotHeld
+    | Hello
+    | Leaving
+    | LoadReport
+    | Peers
+)
--- /dev/null
+++ b/anvilthread/flows/offer.py
@@ -0,0 +1,21 @@
+"""A packet that an agent has offered to its target."""
+
+import msgspec
+
+from anvilthread.flows.flow_key import FlowKey
+
+
+class Offer(msgspec.Struct, frozen=True, kw_only=True, gc=False):
+    """A question to the target whether it holds a flow.
+
+    Attributes:
+        key: The flow.
+        finder: Host of the agent that looks for the holder.
+        balancer: Host of the balancer that has the packets of the flow.
+        started_ms: Time of the offer.
+    """
+
+    key: FlowKey
+    finder: str
+    balancer: str
+    started_ms: int
--- /dev/null
+++ b/anvilthread/flows/rendezvous_finder.py
@@ -0,0 +1,66 @@
+"""The choice of the agent that looks for the holder of a flow."""
+
+import zlib
+from typing import Final
+
+from anvilthread.clock import Clock
+from anvilthread.flows.flow_key import FlowKey
+from anvilthread.flows.known_node import KnownNode
+from anvilthread.flows.roster import Roster
+from anvilthread.routing.rendezvous import score
+
+#: Agents silent for longer are not asked to look for a holder.
+_LIVE_MS: Final = 450
+
+#: A node that started this recently may not know all agents yet.
+_SETTLING_MS: Final = 3000
+
+
+class RendezvousFinder:
+    """Gives every balancer the same agent for a flow, while views agree.
+
+    Args:
+        clock: Clock for the age of reports.
+        roster: The agents of each service.
+    """
+
+    __slots__ = ('_clock', '_roster', '_started_ms')
+
+    def __init__(self, *, clock: Clock, roster: Roster) -> None:
+        self._clock = clock
+        self._roster = roster
+        self._started_ms = clock.now_ms()
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether this node has had the time to hear from all agents."""
+        return self._clock.now_ms() - self._started_ms > _SETTLING_MS
+
+    def choose(self, service: str, key: FlowKey) -> str | None:
+        """Returns the host of the agent to ask.
+
+        Args:
+            service: Service of the flow.
+            key: The flow.
+
+        Returns:
+            The host, or None if no agent of the service is known.
+        """
+        now_ms = self._clock.now_ms()
+        agents = [
+            node
+            for node in self._roster.agents(service)
+            if node.heard_ms is not None and not node.is_leaving
+        ]
+        live = [node for node in agents if _is_live(node, now_ms)]
+        key_hash = zlib.crc32(key)
+        best = max(
+            live or agents,
+            key=lambda node: score(key_hash, zlib.crc32(node.host.encode())),
+            default=None,
+        )
+        return None if best is None else best.host
+
+
+def _is_live(node: KnownNode, now_ms: int) -> bool:
+    return now_ms - (node.heard_ms or 0) <= _LIVE_MS
--- /dev/null
+++ b/anvilthread/flows/route_holder.py
@@ -0,0 +1,84 @@
+"""The configuration in force at one node."""
+
+from typing import Final
+
+from anvilthread.clock import Clock
+from anvilthread.flows.route_table import RouteTable
+from anvilthread.telemetry.log import Log
+
+#: Idle flows are kept this long before a configuration says otherwise.
+_DEFAULT_IDLE_MS: Final = 15_000
+
+_NEVER: Final = -1
+
+
+class RouteHolder:
+    """Keeps the highest version seen, and never goes back.
+
+    Args:
+        clock: Clock for the age of the last check.
+        log: Receives each change of the version.
+    """
+
+    __slots__ = ('_checked_at_ms', '_clock', '_log', '_table')
+
+    def __init__(self, *, clock: Clock, log: Log) -> None:
+        self._clock = clock
+        self._log = log
+        self._table = RouteTable(
+            version=0, routes={}, idle_ms=_DEFAULT_IDLE_MS, document=b''
+        )
+        self._checked_at_ms: int | None = None
+
+    @property
+    def table(self) -> RouteTable:
+        """The version in force."""
+        return self._table
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether any version is known."""
+        return self._table.version > 0
+
+    @property
+    def checked_ms(self) -> int:
+        """Age of the last check of the version with the store; -1 if none."""
+        if self._checked_at_ms is None:
+            return _NEVER
+        return self._clock.now_ms() - self._checked_at_ms
+
+    def offer(self, table: RouteTable, source: str) -> bool:
+        """Takes a version over if it is higher than the one in force.
+
+        Args:
+            table: The version offered.
+            source: Where it comes from, for the log.
+
+        Returns:
+            Whether the version in force has changed.
+        """
+        before = self._table.version
+        if table.version <= before:
+            return False
+        self._table = table
+        self._log.event(
+            'configuration_changed',
+            version=table.version,
+            previous=before,
+            routes=len(table),
+            source=source,
+        )
+        return True
+
+    def confirm(self, version: int, checked_ms: int) -> None:
+        """Notes that the store held a version a while ago.
+
+        Args:
+            version: Version that the store returned.
+            checked_ms: How long ago it did.
+        """
+        if checked_ms < 0 or version < self._table.version:
+            return
+        checked_at_ms = self._clock.now_ms() - checked_ms
+        if self._checked_at_ms is None or checked_at_ms > self._checked_at_ms:
+            self._checked_at_ms = checked_at_ms
--- /dev/null
+++ b/anvilthread/flows/route_table.py
@@ -0,0 +1,99 @@
+"""Where the flows of each address go."""
+
+import zlib
+from collections.abc import Mapping
+
+import msgspec
+
+from anvilthread.flows.flow_key import Endpoint, FlowKey, endpoint_of
+
+
+class ServiceShare(msgspec.Struct, frozen=True, kw_only=True):
+    """A service and its share of the new flows of a route.
+
+    Attributes:
+        service: Name of the service.
+        weight: Share relative to the other services; not negative.
+    """
+
+    service: str
+    weight: int
+
+
+class Route(msgspec.Struct, frozen=True, kw_only=True):
+    """The services behind one address.
+
+    Attributes:
+        name: Name of the route, for logs.
+        shares: Services for new flows; at least one.
+    """
+
+    name: str
+    shares: tuple[ServiceShare, ...]
+
+    def serves(self, service: str) -> bool:
+        """Whether new flows may go to a service."""
+        return any(
+            share.service == service and share.weight > 0
+            for share in self.shares
+        )
+
+    def choose(self, key: FlowKey) -> str:
+        """Returns the service of a new flow, the same for each copy."""
+        if len(self.shares) == 1:
+            return self.shares[0].service
+        total = sum(share.weight for share in self.shares)
+        drawn = zlib.crc32(key) % max(total, 1)
+        for share in self.shares:
+            drawn -= share.weight
+            if drawn < 0:
+                return share.service
+        return self.shares[0].service
+
+
+class RouteTable:
+    """One version of the configuration.
+
+    Args:
+        version: Number of the version; higher ones are newer.
+        routes: Route of each address.
+        idle_ms: Time after which a silent flow may be forgotten.
+        document: The configuration as the store holds it, for peers.
+    """
+
+    __slots__ = ('_document', '_idle_ms', '_routes', '_version')
+
+    def __init__(
+        self,
+        *,
+        version: int,
+        routes: Mapping[Endpoint, Route],
+        idle_ms: int,
+        document: bytes,
+    ) -> None:
+        self._version = version
+        self._routes = dict(routes)
+        self._idle_ms = idle_ms
+        self._document = document
+
+    @property
+    def version(self) -> int:
+        """Number of the version; 0 before any is known."""
+        return self._version
+
+    @property
+    def idle_ms(self) -> int:
+        """Time after which a silent flow may be forgotten."""
+        return self._idle_ms
+
+    @property
+    def document(self) -> bytes:
+        """The configuration as the store holds it."""
+        return self._document
+
+    def __len__(self) -> int:
+        return len(self._routes)
+
+    def route_of(self, key: FlowKey) -> Route | None:
+        """Returns the route of a flow; None if no route has its address."""
+        return self._routes.get(endpoint_of(key))
--- /dev/null
+++ b/anvilthread/flows/search_messages.py
@@ -0,0 +1,54 @@
+"""Messages about the holder of a flow."""
+
+from anvilthread.flows.message import Message
+
+
+class Find(Message, frozen=True, tag=3):
+    """A balancer looks for the holder of a flow.
+
+    Attributes:
+        packet: A packet of the flow; it is delivered once the holder is found.
+        service: Service of the flow.
+    """
+
+    packet: bytes
+    service: str
+
+
+class Ask(Message, frozen=True, tag=4):
+    """An agent asks another one whether its target holds a flow.
+
+    Attributes:
+        packet: A packet of the flow; the holder delivers it.
+        service: Service of the flow.
+        balancer: Host of the balancer that looks for the holder.
+    """
+
+    packet: bytes
+    service: str
+    balancer: str
+
+
+class Held(Message, frozen=True, tag=5):
+    """The sender's target holds a flow of a service."""
+
+    key: bytes
+    service: str
+
+
+class NotHeld(Message, frozen=True, tag=6):
+    """The sender's target does not hold a flow."""
+
+    key: bytes
+
+
+class Absent(Message, frozen=True, tag=7):
+    """No target of the service holds a flow.
+
+    Attributes:
+        key: The flow.
+        acknowledged: Last position that the client has acknowledged.
+    """
+
+    key: bytes
+    acknowledged: int
--- a/anvilthread/store/__init__.py
+++ b/anvilthread/store/__init__.py
@@ -1,8 +1,10 @@
-"""The platform's key-value store."""
+"""The platform's key-value store.
+
+The client is imported from its own module, since it loads an HTTP library.
+"""
 
 from anvilthread.store.call_counts import CallCounts
 from anvilthread.store.call_kind import CallKind
-from anvilthread.store.consul_store import ConsulStore
 from anvilthread.store.fence import Fence
 from anvilthread.store.lease import Lease
 from anvilthread.store.snapshot import Snapshot
@@ -18,7 +20,6 @@
 __all__ = (
     'CallCounts',
     'CallKind',
-    'ConsulStore',
     'Fence',
     'Lease',
     'Snapshot',
--- a/examples/configuration.py
+++ b/examples/configuration.py
@@ -20,7 +20,7 @@
     Proposal,
     texts_from_files,
 )
-from anvilthread.store import ConsulStore
+from anvilthread.store.consul_store import ConsulStore
 from anvilthread.transport import (
     ChannelName,
     Channels,
--- a/examples/operate_node.py
+++ b/examples/operate_node.py
@@ -7,7 +7,7 @@
 from anvilthread.address import Address
 from anvilthread.clock import SystemClock
 from anvilthread.operation import OperationClient, OperationServer
-from anvilthread.telemetry import MemoryLog
+from anvilthread.telemetry.memory_log import MemoryLog
 from standins.memory_network import MemoryNetwork
 from standins.node_with_operations import NodeWithOperations
 
--- /dev/null
+++ b/standins/flow_cluster.py
@@ -0,0 +1,378 @@
+"""Balancers and agents of flows in one process and virtual time."""
+
+import heapq
+import itertools
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+
+from anvilthread.clock import ManualClock
+from anvilthread.flows.flow_agent import FlowAgent
+from anvilthread.flows.flow_balancer import FlowBalancer
+from anvilthread.flows.flow_counters import FlowCounters
+from anvilthread.flows.flow_key import FlowKey, pack_endpoint
+from anvilthread.flows.flow_placement import FlowPlacement
+from anvilthread.flows.introducer import Introducer
+from anvilthread.flows.message_codec import decode_message, encode_message
+from anvilthread.flows.messages import AnyMessage
+from anvilthread.flows.node_messages import Hello, Leaving, LoadReport, Peers
+from anvilthread.flows.node_record import NodeRecord, NodeRole
+from anvilthread.flows.packet_messages import Forward, Place, Refused
+from anvilthread.flows.rendezvous_finder import RendezvousFinder
+from anvilthread.flows.roster import Roster
+from anvilthread.flows.route_holder import RouteHolder
+from anvilthread.flows.route_table import Route, RouteTable, ServiceShare
+from anvilthread.flows.search_messages import Absent, Ask, Find, Held, NotHeld
+from anvilthread.flows.target_watch import Heartbeat, TargetWatch
+from anvilthread.telemetry.memory_log import MemoryLog
+from standins.flow_form import (
+    PlainForm,
+    PlainPacket,
+    decode_packet,
+    encode_packet,
+)
+from standins.flow_target import FlowTarget
+
+SERVICE = 'bookings'
+SERVICE_HOST = '198.18.0.1'
+SERVICE_PORT = 80
+HEARTBEAT_MS = 1200
+
+#: One-way delay between nodes and between an agent and its target.
+HOP_MS = 1
+TICK_MS = 20
+GREETING_MS = 100
+
+
+def route_table(
+    version: int, ports: dict[int, str], idle_ms: int = 15_000
+) -> RouteTable:
+    """Makes a configuration with a route for each port."""
+    return RouteTable(
+        version=version,
+        idle_ms=idle_ms,
+        document=str(version).encode(),
+        routes={
+            pack_endpoint(SERVICE_HOST, port): Route(
+                name=f'route-{port}',
+                shares=(ServiceShare(service=service, weight=1),),
+            )
+            for port, service in ports.items()
+        },
+    )
+
+
+def flow_key(number: int, port: int = SERVICE_PORT) -> FlowKey:
+    """Returns the key of a client's flow."""
+    client = pack_endpoint('100.64.0.1', 10_000 + number)
+    return FlowKey(client + pack_endpoint(SERVICE_HOST, port))
+
+
+class FlowNode:
+    """One balancer or agent with its roster.
+
+    Args:
+        cluster: Where its messages go.
+        record: Identity of the node.
+        contacts: Hosts at which it finds others.
+    """
+
+    def __init__(
+        self,
+        *,
+        cluster: 'FlowCluster',
+        record: NodeRecord,
+        contacts: list[str],
+    ) -> None:
+        self.record = record
+        self.is_up = True
+        self.log = MemoryLog()
+        self.counters = FlowCounters()
+        self._cluster = cluster
+        self._now = cluster.clock.now_ms
+        self.roster = Roster(clock=cluster.clock, own=record, log=self.log)
+        self.routes = RouteHolder(clock=cluster.clock, log=self.log)
+        self.introducer = Introducer(
+            clock=cluster.clock,
+            random=cluster.random,
+            network=self,
+            roster=self.roster,
+            routes=self.routes,
+        )
+        self.introducer.add_contacts(contacts)
+        self.balancer: FlowBalancer | None = None
+        self.agent: FlowAgent | None = None
+        self.target: FlowTarget | None = None
+        self.watch = TargetWatch(
+            clock=cluster.clock, interval_ms=HEARTBEAT_MS, log=self.log
+        )
+        self._handlers: dict[type, Callable[[str, Any], None]] = {}
+        self._build()
+
+    def send_node(self, host: str, message: AnyMessage) -> None:
+        """Sends a message to another node."""
+        self._cluster.send(self.record.host, host, encode_message(message))
+
+    def send_client(self, key: FlowKey, content: bytes) -> None:
+        """Records a packet for the client of a flow."""
+        packet = decode_packet(content)
+        self._cluster.received.append((self._now(), packet))
+
+    def send_target(self, content: bytes) -> None:
+        """Sends a packet to the target beside this node."""
+        target = self.target
+        if target is not None:
+            self._cluster.later(HOP_MS, lambda: self._exchange(target, content))
+
+    def receive(self, host: str, content: bytes) -> None:
+        """Handles a message from another node."""
+        if not self.is_up:
+            return
+        message = decode_message(content)
+        if isinstance(message, LoadReport):
+            self.roster.take_report(message)
+        elif isinstance(message, Hello):
+            self.introducer.on_hello(host, message)
+        elif isinstance(message, Peers):
+            self.introducer.on_peers(message)
+        elif isinstance(message, Leaving):
+            node = self.roster.hear(message.node)
+            if node is not None:
+                node.leave()
+        else:
+            self._handlers[type(message)](host, message)
+
+    def heartbeat(self) -> None:
+        """Has the target tell its state."""
+        target = self.target
+        if target is None or not target.is_up or not self.is_up:
+            return
+        target.sequence += 1
+        heartbeat = Heartbeat(
+            target=target.name,
+            born_ms=target.born_ms,
+            service=target.service,
+            sequence=target.sequence,
+            is_draining=target.is_draining,
+            slots=2,
+            cold_ms=0,
+        )
+        if self.watch.on_heartbeat(heartbeat) and self.agent is not None:
+            self.agent.on_target_restart('target_restarted')
+
+    def tick(self) -> None:
+        """Does what is due every 20 ms."""
+        if self.balancer is not None:
+            self.balancer.tick()
+        if self.agent is not None:
+            self.agent.search.tick()
+        if self._now() % GREETING_MS == 0:
+            self.introducer.tick()
+            self._report()
+
+    def _build(self) -> None:
+        parts: dict[str, Any] = {
+            'clock': self._cluster.clock,
+            'network': self,
+            'form': PlainForm(),
+            'routes': self.routes,
+            'log': self.log,
+            'counters': self.counters,
+        }
+        if self.record.role == NodeRole.AGENT:
+            self.agent = FlowAgent(
+                roster=self.roster, target=self.watch, **parts
+            )
+            self._handlers = {
+                Place: self.agent.on_place,
+                Forward: self.agent.on_forward,
+                Find: self.agent.on_find,
+                Ask: self.agent.on_ask,
+                Held: self.agent.search.on_held,
+                NotHeld: self.agent.search.on_not_held,
+            }
+            return
+        clock = self._cluster.clock
+        self.balancer = FlowBalancer(
+            placement=FlowPlacement(
+                clock=clock, random=self._cluster.random, roster=self.roster
+            ),
+            finder=RendezvousFinder(clock=clock, roster=self.roster),
+            **parts,
+        )
+        self._handlers = {
+            Held: self.balancer.on_held,
+            NotHeld: self.balancer.on_not_held,
+            Refused: self.balancer.on_refused,
+            Absent: self.balancer.on_absent,
+        }
+
+    def _report(self) -> None:
+        if self.agent is not None:
+            report = self.agent.report()
+            for node in self.roster.nodes:
+                self.send_node(node.host, report)
+
+    def _exchange(self, target: FlowTarget, content: bytes) -> None:
+        answer = target.take(content)
+        if answer is not None:
+            self._cluster.later(HOP_MS, lambda: self._from_target(answer))
+
+    def _from_target(self, content: bytes) -> None:
+        packet = PlainForm().from_target(content)
+        if self.is_up and self.agent is not None and packet is not None:
+            self.agent.on_target_packet(packet)
+
+
+class FlowCluster:
+    """A cluster whose network delivers everything after one millisecond.
+
+    Args:
+        balancers: Number of balancers.
+        agents: Number of agents with a target of :data:`SERVICE`.
+        seed: Seed of every random choice.
+    """
+
+    def __init__(self, *, balancers: int, agents: int, seed: int = 1) -> None:
+        self.clock = ManualClock(start_ms=1000)
+        self.random = Random(seed)
+        self.table = route_table(1, {SERVICE_PORT: SERVICE})
+        #: Time and packet for every packet that a client was sent.
+        self.received: list[tuple[int, PlainPacket]] = []
+        #: Pairs of hosts between which messages are lost, in that direction.
+        self.cuts: set[tuple[str, str]] = set()
+        self.nodes: dict[str, FlowNode] = {}
+        self._queue: list[tuple[int, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._incarnations = itertools.count(1)
+        for number in range(balancers):
+            self.add_balancer(number)
+        for number in range(agents):
+            self.add_agent(number)
+        self.advance(1000)
+
+    @property
+    def balancers(self) -> list[FlowNode]:
+        """The balancers that are up."""
+        return [it for it in self.nodes.values() if it.balancer and it.is_up]
+
+    @property
+    def agents(self) -> list[FlowNode]:
+        """The agents that are up."""
+        return [it for it in self.nodes.values() if it.agent and it.is_up]
+
+    @property
+    def targets(self) -> list[FlowTarget]:
+        """All targets."""
+        return [it.target for it in self.nodes.values() if it.target]
+
+    def add_balancer(self, number: int) -> FlowNode:
+        """Starts a balancer, in place of an earlier process if any."""
+        return self._add(f'10.0.0.{number + 1}', NodeRole.BALANCER, '')
+
+    def add_agent(self, number: int, service: str = SERVICE) -> FlowNode:
+        """Starts an agent; its target goes on if there is one already."""
+        host = f'10.0.1.{number + 1}'
+        before = self.nodes.get(host)
+        target = None if before is None else before.target
+        if target is None or target.service != service:
+            target = FlowTarget(
+                name=f'target-{number}-{service}',
+                service=service,
+                born_ms=self.clock.now_ms(),
+            )
+        node = self._add(host, NodeRole.AGENT, service)
+        node.target = target
+        node.heartbeat()
+        return node
+
+    def send(self, sender: str, host: str, content: bytes) -> None:
+        """Delivers a message after one hop, unless the link is cut."""
+        if (sender, host) in self.cuts or host not in self.nodes:
+            return
+        self.later(HOP_MS, lambda: self.nodes[host].receive(sender, content))
+
+    def later(self, delay_ms: int, run: Callable[[], None]) -> None:
+        """Runs something after a while."""
+        due_ms = self.clock.now_ms() + delay_ms
+        heapq.heappush(self._queue, (due_ms, next(self._order), run))
+
+    def advance(self, duration_ms: int) -> None:
+        """Moves time forward by whole milliseconds."""
+        for _ in range(duration_ms):
+            self.clock.advance(1)
+            now_ms = self.clock.now_ms()
+            while self._queue and self._queue[0][0] <= now_ms:
+                heapq.heappop(self._queue)[2]()
+            if now_ms % TICK_MS == 0:
+                self._tick(now_ms)
+
+    def send_packet(
+        self, packet: PlainPacket, balancer: FlowNode | None = None
+    ) -> None:
+        """Sends a packet of a client through a balancer, the first if None."""
+        node = self.balancers[0] if balancer is None else balancer
+        read = PlainForm().from_client(encode_packet(packet))
+        assert read is not None and node.balancer is not None
+        node.balancer.on_packet(read)
+
+    def open(
+        self, key: FlowKey, balancer: FlowNode | None = None, copy: int = 0
+    ) -> None:
+        """Sends the opening packet of a flow, or a copy of it."""
+        packet = PlainPacket(key=key, flags='S', acknowledged=copy)
+        self.send_packet(packet, balancer)
+
+    def request(
+        self, key: FlowKey, body: bytes, balancer: FlowNode | None = None
+    ) -> None:
+        """Sends a request on an open flow."""
+        self.send_packet(PlainPacket(key=key, flags='A', body=body), balancer)
+
+    def packets(self, key: FlowKey) -> list[PlainPacket]:
+        """Returns what the client of a flow has received."""
+        return [packet for _, packet in self.received if packet.key == key]
+
+    def bodies(self, key: FlowKey) -> list[bytes]:
+        """Returns the answers that the client of a flow has received."""
+        return [it.body for it in self.packets(key) if it.body]
+
+    def is_reset(self, key: FlowKey) -> bool:
+        """Whether the client of a flow was sent a reset."""
+        return any(it.flags == 'R' for it in self.packets(key))
+
+    def holder(self, key: FlowKey) -> FlowTarget | None:
+        """Returns the target that holds a flow."""
+        holders = [it for it in self.targets if key in it.flows]
+        return holders[0] if holders else None
+
+    def configure(self, table: RouteTable) -> None:
+        """Puts a configuration in force at all nodes."""
+        self.table = table
+        for node in self.nodes.values():
+            node.routes.offer(table, 'test')
+            node.routes.confirm(table.version, 0)
+
+    def _add(self, host: str, role: NodeRole, service: str) -> FlowNode:
+        record = NodeRecord(
+            host=host,
+            role=role,
+            site='site-a',
+            service=service,
+            incarnation=next(self._incarnations),
+        )
+        contacts = ['10.0.0.1', '10.0.0.2']
+        node = FlowNode(cluster=self, record=record, contacts=contacts)
+        node.routes.offer(self.table, 'test')
+        node.routes.confirm(self.table.version, 0)
+        self.nodes[host] = node
+        return node
+
+    def _tick(self, now_ms: int) -> None:
+        for node in list(self.nodes.values()):
+            if not node.is_up:
+                continue
+            node.tick()
+            if now_ms % HEARTBEAT_MS == 0:
+                node.heartbeat()
--- /dev/null
+++ b/standins/flow_form.py
@@ -0,0 +1,82 @@
+"""A packet form for tests, unlike that of any platform."""
+
+import msgspec
+
+from anvilthread.flows.flow_key import FlowKey
+from anvilthread.flows.flow_packet import FlowPacket
+
+
+class PlainPacket(msgspec.Struct, frozen=True, kw_only=True):
+    """A packet of either end of a flow."""
+
+    key: bytes
+    flags: str = ''
+    sequence: int = 0
+    acknowledged: int = 0
+    body: bytes = b''
+    mark: int = 0
+    is_bounced: bool = False
+
+
+_decoder = msgspec.msgpack.Decoder(PlainPacket)
+
+
+def encode_packet(packet: PlainPacket) -> bytes:
+    """Writes a packet."""
+    return msgspec.msgpack.encode(packet)
+
+
+def decode_packet(content: bytes) -> PlainPacket:
+    """Reads a packet.
+
+    Raises:
+        msgspec.DecodeError: If the bytes are not a packet.
+    """
+    return _decoder.decode(content)
+
+
+class PlainForm:
+    """Reads and writes :class:`PlainPacket`."""
+
+    __slots__ = ()
+
+    def from_client(self, content: bytes) -> FlowPacket | None:
+        """Reads a packet that a client has sent; None if malformed."""
+        try:
+            packet = decode_packet(content)
+        except msgspec.DecodeError:
+            return None
+        return FlowPacket(
+            key=FlowKey(packet.key),
+            content=content,
+            is_syn='S' in packet.flags,
+            is_ack='A' in packet.flags,
+            is_fin='F' in packet.flags,
+            is_reset='R' in packet.flags,
+            is_bounced=packet.is_bounced,
+            mark=packet.mark,
+            acknowledged=packet.acknowledged,
+            size=len(packet.body),
+        )
+
+    def from_target(self, content: bytes) -> FlowPacket | None:
+        """Reads a packet from a target, bounced ones included."""
+        return self.from_client(content)
+
+    def marked(self, content: bytes, mark: int) -> bytes:
+        """Returns the packet with a mark that the target returns unread."""
+        packet = decode_packet(content)
+        return encode_packet(msgspec.structs.replace(packet, mark=mark))
+
+    def unbounced(self, content: bytes) -> bytes:
+        """Returns a bounced packet as its sender has sent it."""
+        packet = decode_packet(content)
+        return encode_packet(
+            msgspec.structs.replace(packet, mark=0, is_bounced=False)
+        )
+
+    def reset(self, key: FlowKey, acknowledged: int) -> bytes:
+        """Makes a packet that ends a flow at its client."""
+        return encode_packet(
+            PlainPacket(key=key, flags='R', sequence=acknowledged)
+        )
--- /dev/null
+++ b/standins/flow_target.py
@@ -0,0 +1,75 @@
+"""A target of flows for tests in virtual time."""
+
+import msgspec
+
+from standins.flow_form import PlainPacket, decode_packet, encode_packet
+
+
+class FlowTarget:
+    """Accepts flows, answers requests and returns what it does not hold.
+
+    Args:
+        name: Identity of the target.
+        service: Service that it runs.
+        born_ms: Start of the target.
+        max_flows: Flows that it holds at most.
+    """
+
+    def __init__(
+        self, *, name: str, service: str, born_ms: int, max_flows: int = 100
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.born_ms = born_ms
+        self.max_flows = max_flows
+        self.is_up = True
+        self.is_draining = False
+        self.sequence = 0
+        #: Requests answered by flow.
+        self.flows: dict[bytes, int] = {}
+        #: Opening packets, requests and foreign packets in order of arrival.
+        self.opened: list[bytes] = []
+        self.served: list[bytes] = []
+        self.bounced: list[bytes] = []
+
+    def crash(self) -> None:
+        """Loses every flow and answers nothing."""
+        self.is_up = False
+        self.flows.clear()
+
+    def take(self, content: bytes) -> bytes | None:
+        """Handles a packet; returns what it sends at once, if anything."""
+        if not self.is_up:
+            return None
+        packet = decode_packet(content)
+        if packet.flags == 'S':
+            return self._open(packet)
+        if packet.key not in self.flows:
+            return self._bounce(packet)
+        if 'F' in packet.flags or 'R' in packet.flags:
+            self.flows.pop(packet.key)
+            return encode_packet(PlainPacket(key=packet.key, flags='AF'))
+        if not packet.body:
+            return None
+        self.flows[packet.key] += 1
+        self.served.append(packet.body)
+        return encode_packet(
+            PlainPacket(
+                key=packet.key,
+                flags='A',
+                acknowledged=packet.sequence,
+                body=f'{self.name}:'.encode() + packet.body,
+            )
+        )
+
+    def _open(self, packet: PlainPacket) -> bytes:
+        self.opened.append(packet.key)
+        if packet.key not in self.flows:
+            if len(self.flows) >= self.max_flows:
+                return self._bounce(packet)
+            self.flows[packet.key] = 0
+        return encode_packet(PlainPacket(key=packet.key, flags='SA'))
+
+    def _bounce(self, packet: PlainPacket) -> bytes:
+        self.bounced.append(packet.key)
+        return encode_packet(msgspec.structs.replace(packet, is_bounced=True))
--- a/tests/commands/test_node_commands.py
+++ b/tests/commands/test_node_commands.py
@@ -16,7 +16,7 @@
 from anvilthread.operation import OperationServer
 from anvilthread.settings import KeyFile, Keys
 from anvilthread.settings.key_document import KeyDocument
-from anvilthread.telemetry import MemoryLog
+from anvilthread.telemetry.memory_log import MemoryLog
 from anvilthread.transport import Transport
 from standins.memory_network import MemoryNetwork
 from standins.node_with_operations import NodeWithOperations, target_status
--- /dev/null
+++ b/tests/flows/test_flows.py
@@ -0,0 +1,267 @@
+"""Flows through balancers and agents that fail, in virtual time."""
+
+import pytest
+
+from anvilthread.flows.search_messages import Held
+from standins.flow_cluster import (
+    SERVICE,
+    SERVICE_PORT,
+    FlowCluster,
+    flow_key,
+    route_table,
+)
+from standins.flow_form import PlainPacket
+
+
+def _open_flows(cluster: FlowCluster, count: int) -> None:
+    for number in range(count):
+        cluster.open(flow_key(number))
+        cluster.advance(5)
+        cluster.request(flow_key(number), b'first')
+        cluster.advance(5)
+
+
+def test_flow_is_served_by_one_target() -> None:
+    """Guards against opening packets that reach more than one target."""
+    cluster = FlowCluster(balancers=2, agents=4)
+    _open_flows(cluster, 40)
+    opened = [key for target in cluster.targets for key in target.opened]
+    assert sorted(opened) == sorted(flow_key(number) for number in range(40))
+    for number in range(40):
+        assert len(cluster.bodies(flow_key(number))) == 1
+        assert not cluster.is_reset(flow_key(number))
+
+
+def test_silent_agent_is_passed_over() -> None:
+    """Guards against a client that waits for its 200 ms copy."""
+    cluster = FlowCluster(balancers=1, agents=3)
+    cluster.agents[0].is_up = False
+    for number in range(12):
+        cluster.open(flow_key(number))
+    cluster.advance(120)
+    for number in range(12):
+        flags = [it.flags for it in cluster.packets(flow_key(number))]
+        assert flags == ['SA']
+
+
+@pytest.mark.parametrize(
+    ('full', 'is_served'), [(0, True), (1, True), (2, True), (3, False)]
+)
+def test_full_targets(full: int, is_served: bool) -> None:
+    """Guards against waiting where all targets have refused a flow."""
+    cluster = FlowCluster(balancers=1, agents=3)
+    for target in cluster.targets[:full]:
+        target.max_flows = 0
+    cluster.open(flow_key(1))
+    cluster.advance(30)
+    assert bool(cluster.holder(flow_key(1))) == is_served
+    assert cluster.is_reset(flow_key(1)) != is_served
+
+
+def test_draining_target_gets_no_opening_packet() -> None:
+    """Guards against new work, copies included, after the acknowledgement."""
+    cluster = FlowCluster(balancers=2, agents=2)
+    cluster.open(flow_key(1))
+    cluster.advance(5)
+    holder = cluster.holder(flow_key(1))
+    assert holder is not None
+    before = len(holder.opened)
+    node = next(it for it in cluster.agents if it.target is holder)
+    holder.is_draining = True
+    node.heartbeat()
+    # Before any balancer can have heard of it.
+    for number in range(2, 20):
+        cluster.open(flow_key(number), cluster.balancers[number % 2])
+    cluster.open(flow_key(1), cluster.balancers[1], copy=1)
+    cluster.advance(50)
+    assert len(holder.opened) == before
+    for number in range(2, 20):
+        assert cluster.holder(flow_key(number)) is not None
+
+
+@pytest.mark.parametrize('same_service', [True, False])
+def test_flows_survive_another_balancer(same_service: bool) -> None:
+    """Guards against flows lost when the routers choose another balancer."""
+    cluster = FlowCluster(balancers=2, agents=5)
+    if not same_service:
+        cluster.add_agent(9, 'statements')
+    _open_flows(cluster, 20)
+    cluster.nodes['10.0.0.1'].is_up = False
+    for number in range(20):
+        cluster.request(flow_key(number), b'second')
+    cluster.advance(20)
+    for number in range(20):
+        assert len(cluster.bodies(flow_key(number))) == 2
+        assert not cluster.is_reset(flow_key(number))
+    # Every table was complete, so no target had to be asked.
+    assert not any(target.bounced for target in cluster.targets)
+
+
+def test_flows_survive_the_restart_of_all_processes() -> None:
+    """Guards against open flows that nobody remembers after a power loss."""
+    cluster = FlowCluster(balancers=2, agents=5)
+    _open_flows(cluster, 20)
+    for number in range(2):
+        cluster.add_balancer(number)
+    for number in range(5):
+        cluster.add_agent(number)
+    cluster.advance(300)
+    for number in range(20):
+        cluster.request(flow_key(number), b'second')
+    cluster.advance(100)
+    for number in range(20):
+        assert len(cluster.bodies(flow_key(number))) == 2
+        assert not cluster.is_reset(flow_key(number))
+
+
+def test_restarted_agent_keeps_its_flows() -> None:
+    """Guards against a flow taken for lost when only its agent restarts."""
+    cluster = FlowCluster(balancers=2, agents=3)
+    _open_flows(cluster, 12)
+    for number in range(3):
+        cluster.add_agent(number)
+        cluster.advance(200)
+        for flow in range(12):
+            cluster.request(flow_key(flow), b'again')
+        cluster.advance(60)
+    for number in range(12):
+        assert len(cluster.bodies(flow_key(number))) == 4
+        assert not cluster.is_reset(flow_key(number))
+
+
+def test_lost_flow_is_reset_at_once() -> None:
+    """Guards against a client that retransmits to nobody until its deadline."""
+    cluster = FlowCluster(balancers=2, agents=3)
+    _open_flows(cluster, 6)
+    for node in cluster.agents:
+        assert node.target is not None
+        node.target.crash()
+        node.target.is_up = True
+        node.target.born_ms += 5000
+        node.target.sequence = 0
+        node.heartbeat()
+    cluster.advance(5)
+    for number in range(6):
+        assert cluster.is_reset(flow_key(number))
+
+
+def test_flow_without_holder_is_reset() -> None:
+    """Guards against silence where every agent knows that a flow is gone."""
+    cluster = FlowCluster(balancers=1, agents=4)
+    cluster.request(flow_key(1), b'never opened')
+    cluster.advance(30)
+    assert cluster.is_reset(flow_key(1))
+
+
+def test_silent_agent_proves_nothing() -> None:
+    """Guards against a reset of a flow whose agent is only out of reach."""
+    cluster = FlowCluster(balancers=2, agents=4)
+    _open_flows(cluster, 12)
+    silent = cluster.agents[0]
+    silent.is_up = False
+    cluster.advance(2500)
+    held = [
+        number
+        for number in range(12)
+        if cluster.holder(flow_key(number)) is silent.target
+    ]
+    assert held
+    for number in held:
+        cluster.request(flow_key(number), b'?', cluster.balancers[1])
+    cluster.advance(600)
+    for number in held:
+        assert not cluster.is_reset(flow_key(number))
+
+
+def test_reused_address_gets_no_foreign_packet() -> None:
+    """Guards against bookings at a VM that now runs statements."""
+    cluster = FlowCluster(balancers=1, agents=2)
+    _open_flows(cluster, 8)
+    cluster.add_agent(0, 'statements')
+    statements = cluster.nodes['10.0.1.1'].target
+    assert statements is not None
+    for number in range(8):
+        cluster.request(flow_key(number), b'second')
+    cluster.open(flow_key(99))
+    cluster.advance(200)
+    assert not statements.opened
+    assert not statements.bounced
+    assert not statements.served
+
+
+@pytest.mark.parametrize(
+    ('ports', 'is_open', 'expects_reset'),
+    [
+        ({SERVICE_PORT: SERVICE}, True, False),
+        ({8080: SERVICE}, True, True),
+        ({8080: SERVICE}, False, True),
+    ],
+)
+def test_removed_route(
+    ports: dict[int, str], is_open: bool, expects_reset: bool
+) -> None:
+    """Guards against requests on a route that the operators have removed."""
+    cluster = FlowCluster(balancers=1, agents=2)
+    if is_open:
+        _open_flows(cluster, 2)
+    cluster.configure(route_table(2, ports))
+    if is_open:
+        cluster.request(flow_key(1), b'second')
+    else:
+        cluster.open(flow_key(1))
+    cluster.advance(20)
+    assert cluster.is_reset(flow_key(1)) == expects_reset
+
+
+@pytest.mark.parametrize('agent_is_newer', [True, False])
+def test_newer_configuration_decides(agent_is_newer: bool) -> None:
+    """Guards against a removed route that an outdated balancer still uses,
+    and against an outdated agent that refuses a new route.
+    """
+    cluster = FlowCluster(balancers=1, agents=2)
+    newer = route_table(2, {8080: SERVICE})
+    nodes = cluster.agents if agent_is_newer else cluster.balancers
+    for node in nodes:
+        node.routes.offer(newer, 'test')
+    port = SERVICE_PORT if agent_is_newer else 8080
+    cluster.open(flow_key(1, port))
+    cluster.advance(30)
+    assert bool(cluster.holder(flow_key(1, port))) != agent_is_newer
+
+
+def test_two_openings_settle_at_the_acknowledged_target() -> None:
+    """Guards against a flow stuck at a target that does not hold it.
+
+    A copy of the opening packet went through another balancer, and the client
+    has adopted the target that the packet's balancer does not know.
+    """
+    cluster = FlowCluster(balancers=2, agents=3)
+    key = flow_key(1)
+    cluster.open(key)
+    cluster.advance(5)
+    holder = cluster.holder(key)
+    for target in cluster.targets:
+        if target is not holder:
+            target.max_flows = 0
+    cluster.balancers[1].balancer.on_held(  # type: ignore[union-attr]
+        next(it.record.host for it in cluster.agents if it.target != holder),
+        Held(key=key, service=SERVICE),
+    )
+    cluster.request(key, b'first', cluster.balancers[1])
+    cluster.advance(30)
+    assert len(cluster.bodies(key)) == 1
+
+
+def test_fin_is_forgotten() -> None:
+    """Guards against tables that grow with every closed flow."""
+    cluster = FlowCluster(balancers=1, agents=2)
+    _open_flows(cluster, 10)
+    for number in range(10):
+        cluster.send_packet(PlainPacket(key=flow_key(number), flags='AF'))
+    cluster.advance(4000)
+    for node in cluster.agents:
+        assert node.agent is not None
+        node.agent.flows.sweep()
+        assert not len(node.agent.flows)
+    assert cluster.balancers[0].balancer is not None
+    assert cluster.balancers[0].balancer.flow_count == 0
--- /dev/null
+++ b/tests/flows/test_message_codec.py
@@ -0,0 +1,65 @@
+"""Messages between nodes in binary form."""
+
+import msgspec
+import pytest
+
+from anvilthread.flows.message_codec import decode_message, encode_message
+from anvilthread.flows.node_messages import Hello, LoadReport, Peers
+from anvilthread.flows.node_record import NodeRecord, NodeRole
+from anvilthread.flows.packet_messages import Place
+from anvilthread.flows.search_messages import Ask
+
+_NODE = NodeRecord('10.0.0.1', NodeRole.AGENT, 'site-a', 'bookings', 7)
+
+
+@pytest.mark.parametrize(
+    'message',
+    [
+        Place(packet=b'p', service='bookings', version=3),
+        Ask(packet=b'p', service='bookings', balancer='10.0.0.2'),
+        Hello(node=_NODE, version=3, checked_ms=-1, wants_peers=True),
+        Peers(nodes=(_NODE, _NODE), version=3, checked_ms=10),
+        LoadReport(
+            node=_NODE,
+            sequence=1,
+            accepts=True,
+            working=2,
+            busy=1.5,
+            flows=3,
+            slots=2,
+            cold_ms=0,
+            version=3,
+            checked_ms=5,
+        ),
+    ],
+)
+def test_round_trip(message: object) -> None:
+    """Guards against fields that do not survive the way to a peer."""
+    assert decode_message(encode_message(message)) == message  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'',
+        b'\x00',
+        b'GET / HTTP/1.1',
+        msgspec.msgpack.encode([99, b'p']),
+        msgspec.msgpack.encode([1, b'p']),
+        msgspec.msgpack.encode([1, 5, 'bookings', 'three']),
+        encode_message(Place(packet=b'p', service='s', version=1))[:-1],
+    ],
+)
+def test_malformed(content: bytes) -> None:
+    """Guards against a crash or a half-read message."""
+    with pytest.raises(msgspec.DecodeError):
+        decode_message(content)
+
+
+def test_peers_fit_a_datagram() -> None:
+    """Guards against lists of nodes that the network would fragment."""
+    node = NodeRecord(
+        '255.255.255.255', NodeRole.AGENT, 's' * 20, 'x' * 10, 1 << 40
+    )
+    message = Peers(nodes=(node,) * 17, version=1 << 40, checked_ms=1000)
+    assert len(encode_message(message)) <= 1200
--- /dev/null
+++ b/tests/flows/test_route_holder.py
@@ -0,0 +1,35 @@
+"""The configuration in force never goes back."""
+
+import pytest
+
+from anvilthread.clock import ManualClock
+from anvilthread.flows.route_holder import RouteHolder
+from anvilthread.telemetry.memory_log import MemoryLog
+from standins.flow_cluster import SERVICE, route_table
+
+
+@pytest.mark.parametrize(
+    ('offered', 'in_force'),
+    [('12', 2), ('21', 2), ('5394', 9), ('33', 3)],
+)
+def test_highest_version_stays(offered: str, in_force: int) -> None:
+    """Guards against a store or peer that returns an older version."""
+    log = MemoryLog()
+    holder = RouteHolder(clock=ManualClock(), log=log)
+    for version in map(int, offered):
+        holder.offer(route_table(version, {80: SERVICE}), 'test')
+    assert holder.table.version == in_force
+
+
+@pytest.mark.parametrize(
+    ('version', 'age_ms', 'checked_ms'),
+    [(2, 100, 100), (1, 100, -1), (2, -1, -1), (3, 40, 40)],
+)
+def test_check_counts_for_its_version_only(
+    version: int, age_ms: int, checked_ms: int
+) -> None:
+    """Guards against a check of an older version taken for a fresh one."""
+    holder = RouteHolder(clock=ManualClock(start_ms=5000), log=MemoryLog())
+    holder.offer(route_table(2, {80: SERVICE}), 'test')
+    holder.confirm(version, age_ms)
+    assert holder.checked_ms == checked_ms
--- a/tests/operation/test_operation.py
+++ b/tests/operation/test_operation.py
@@ -22,7 +22,7 @@
 )
 from anvilthread.operation.answers import RefusalAnswer, TargetsAnswer
 from anvilthread.operation.envelope import MAGIC, pack, unpack
-from anvilthread.telemetry import MemoryLog
+from anvilthread.telemetry.memory_log import MemoryLog
 from anvilthread.transport import Received
 from standins.memory_network import MemoryNetwork
 from standins.node_with_operations import NodeWithOperations, target_status
--- a/tests/store/conftest.py
+++ b/tests/store/conftest.py
@@ -7,7 +7,8 @@
 
 from anvilthread.address import Address
 from anvilthread.clock import SystemClock
-from anvilthread.store import ConsulStore, Store
+from anvilthread.store import Store
+from anvilthread.store.consul_store import ConsulStore
 from standins.memory_store import MemoryStore
 from standins.store import StoreServer
 from standins.store_state import StoreLimits, StoreState
--- a/tests/store/test_patched_process.py
+++ b/tests/store/test_patched_process.py
@@ -12,7 +12,7 @@
 
 from anvilthread.address import Address
 from anvilthread.clock import SystemClock
-from anvilthread.store import ConsulStore
+from anvilthread.store.consul_store import ConsulStore
 from standins.store import StoreServer
 
 clock = SystemClock()
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -11,7 +11,6 @@
 from anvilthread.clock import ManualClock, SystemClock
 from anvilthread.store import (
     CallKind,
-    ConsulStore,
     Fence,
     Store,
     StoreAnswerLost,
@@ -20,6 +19,7 @@
     StoreRefused,
     StoreUnavailable,
 )
+from anvilthread.store.consul_store import ConsulStore
 from standins.memory_store import MemoryStore
 from standins.store import StoreServer
 from standins.store_state import StoreFaults, StoreLimits, StoreState
--- a/tests/telemetry/test_component_lines.py
+++ b/tests/telemetry/test_component_lines.py
@@ -5,7 +5,7 @@
 
 import gevent
 
-from anvilthread.telemetry import LogSink
+from anvilthread.telemetry.log_sink import LogSink
 
 
 def test_line_has_time_and_level() -> None:
--- a/tests/telemetry/test_metrics.py
+++ b/tests/telemetry/test_metrics.py
@@ -6,7 +6,9 @@
 from syrupy.assertion import SnapshotAssertion
 
 from anvilthread.address import Address
-from anvilthread.telemetry import Health, Metrics, TelemetryServer
+from anvilthread.telemetry.health import Health
+from anvilthread.telemetry.metrics import Metrics
+from anvilthread.telemetry.telemetry_server import TelemetryServer
 from anvilthread.telemetry.metrics import MetricNameError
 
 
