--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -7,7 +7,15 @@
         -r deploy/requirements.txt
     cp deploy/requirements.txt target/requirements.done
 fi
-rm -rf target/deps/anvilthread target/platform
-cp -R anvilthread target/deps/anvilthread
-cp -R platform target/platform
-python3 -m compileall -q target/deps target/platform
+# Left alone if nothing has changed: a run that is under way uses these files.
+if [ -n "$(find anvilthread platform -name '*.py' -newer target/built 2>&1)" ]
+then
+    rm -rf target/new
+    mkdir target/new
+    cp -R anvilthread platform target/new/
+    python3 -m compileall -q target/deps target/new
+    touch target/built
+    rm -rf target/deps/anvilthread target/platform
+    mv target/new/anvilthread target/deps/anvilthread
+    mv target/new/platform target/platform
+fi
