--- a/anvilthread/flow_node/agent_process.py
+++ b/anvilthread/flow_node/agent_process.py
@@ -9,7 +9,10 @@
 from anvilthread.flow_node.flow_process import FlowProcess
 from anvilthread.flows.configuration_source import ConfigurationSource
 from anvilthread.flows.flow_agent import FlowAgent
+from anvilthread.flows.known_node import KnownNode
 from anvilthread.flows.messages import AnyMessage
+from anvilthread.flows.node_directory import NodeDirectory
+from anvilthread.flows.node_record import NodeRole
 from anvilthread.flows.packet_form import PacketForm
 from anvilthread.flows.packet_messages import Forward, Place
 from anvilthread.flows.search_messages import Ask, Find, Held, NotHeld
@@ -83,10 +86,18 @@
             NotHeld: self._agent.search.on_not_held,
         }
 
-    def start(self, source: ConfigurationSource) -> None:
+    def _report_to(self, node: KnownNode) -> None:
+        """Has a balancer that has just started know the target at once."""
+        if node.record.role == NodeRole.BALANCER:
+            self.process.network.send_node(node.host, self._agent.report())
+
+    def start(
+        self, source: ConfigurationSource, directory: NodeDirectory
+    ) -> None:
         """Starts all tasks."""
-        self.process.start(source, self._on_message)
+        self.process.start(source, directory, self._on_message)
         gevent.spawn(self.process.packets.serve, self._on_target_packet)
+        self.process.roster.subscribe(self._report_to)
         self.process.every(_TICK_MS, self._agent.search.tick)
         self.process.every(_REPORT_MS, self._report)
         self.process.every(_SWEEP_MS, self._agent.flows.sweep)
--- a/anvilthread/flow_node/balancer_process.py
+++ b/anvilthread/flow_node/balancer_process.py
@@ -11,6 +11,7 @@
 from anvilthread.flows.flow_balancer import FlowBalancer
 from anvilthread.flows.flow_placement import FlowPlacement
 from anvilthread.flows.messages import AnyMessage
+from anvilthread.flows.node_directory import NodeDirectory
 from anvilthread.flows.packet_form import PacketForm
 from anvilthread.flows.packet_messages import Refused
 from anvilthread.flows.rendezvous_finder import RendezvousFinder
@@ -62,9 +63,11 @@
             Absent: self._balancer.on_absent,
         }
 
-    def start(self, source: ConfigurationSource) -> None:
+    def start(
+        self, source: ConfigurationSource, directory: NodeDirectory
+    ) -> None:
         """Starts all tasks."""
-        self.process.start(source, self._on_message)
+        self.process.start(source, directory, self._on_message)
         gevent.spawn(self.process.packets.serve, self._on_packet)
         self.process.every(_TICK_MS, self._balancer.tick)
 
--- a/anvilthread/flow_node/flow_process.py
+++ b/anvilthread/flow_node/flow_process.py
@@ -8,8 +8,10 @@
 import gevent
 import msgspec
 from gevent.event import Event
+from result import Err, Result
 
 from anvilthread.clock import SystemClock
+from anvilthread.error import AnvilthreadError
 from anvilthread.flow_node.datagram_port import DatagramPort
 from anvilthread.flow_node.document_port import DocumentPort
 from anvilthread.flow_node.flow_node_settings import FlowNodeSettings
@@ -17,18 +19,21 @@
 from anvilthread.flow_node.node_network import NodeNetwork
 from anvilthread.flows.configuration_follower import ConfigurationFollower
 from anvilthread.flows.configuration_source import ConfigurationSource
+from anvilthread.flows.directory_user import DirectoryUser
 from anvilthread.flows.flow_counters import FlowCounters
 from anvilthread.flows.introducer import Introducer
 from anvilthread.flows.message_codec import decode_message
 from anvilthread.flows.messages import AnyMessage
+from anvilthread.flows.node_directory import NodeDirectory
 from anvilthread.flows.node_messages import Hello, Leaving, LoadReport, Peers
 from anvilthread.flows.node_record import NodeRecord
 from anvilthread.flows.packet_messages import Place, Refused
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
 
-#: Period of the task that greets nodes.
-_GREETING_MS: Final = 100
+#: Period of the task that greets nodes. Short, since no flow is served until
+#: a starting node has met another.
+_GREETING_MS: Final = 50
 
 #: Period in which collected log lines are written.
 _FLUSH_MS: Final = 200
@@ -36,6 +41,10 @@
 _STDOUT: Final = 1
 _INCARNATION_BITS: Final = 40
 
+#: Time between two readings of the settings file without a signal.
+_SETTINGS_PERIOD_S: Final = 30
+
+SettingsLoader = Callable[[], Result[FlowNodeSettings, AnvilthreadError]]
 MessageHandler = Callable[[str, AnyMessage], None]
 
 
@@ -56,6 +65,7 @@
         'network',
         'packets',
         'random',
+        'reloading',
         'roster',
         'routes',
         'settings',
@@ -76,6 +86,8 @@
         )
         self.counters = FlowCounters()
         self.stopping = Event()
+        #: Set by SIGHUP; cleared once the settings have been read again.
+        self.reloading = Event()
         self._nodes = DatagramPort(
             endpoint=(settings.host, settings.node_port), log=self.log
         )
@@ -112,12 +124,16 @@
         )
 
     def start(
-        self, source: ConfigurationSource, handle: MessageHandler
+        self,
+        source: ConfigurationSource,
+        directory: NodeDirectory,
+        handle: MessageHandler,
     ) -> None:
         """Starts the common tasks.
 
         Args:
             source: Where the configuration is read.
+            directory: List of nodes for those that know nobody.
             handle: Takes the messages about flows.
         """
         settings = self.settings
@@ -130,15 +146,26 @@
             introducer=self.introducer,
             log=self.log,
         )
+        user = DirectoryUser(
+            clock=self.clock,
+            random=self.random,
+            directory=directory,
+            roster=self.roster,
+            introducer=self.introducer,
+            log=self.log,
+        )
         documents = DocumentPort(
             endpoint=(settings.host, settings.node_port), routes=self.routes
         )
         documents.start()
         gevent.signal_handler(signal.SIGTERM, self.stopping.set)
+        gevent.signal_handler(signal.SIGHUP, self.reloading.set)
         self._handle = handle
         gevent.spawn(self._nodes.serve, self._dispatch)
         gevent.spawn(self._follower.follow_store)
         gevent.spawn(self._follower.follow_peers)
+        gevent.spawn(user.find)
+        gevent.spawn(user.register)
         self.every(_GREETING_MS, self.introducer.tick)
         self.every(_FLUSH_MS, self.log.flush)
         self.log.event(
@@ -154,6 +181,28 @@
         """Starts a task that repeats."""
         gevent.spawn(self._repeat, period_ms, run)
 
+    def watch_settings(self, load: SettingsLoader) -> None:
+        """Reads the settings again after SIGHUP and now and then, forever.
+
+        Only the contacts can change without a restart; a change of another
+        field is logged, and the running settings stay.
+
+        Args:
+            load: Reads the settings file.
+        """
+        while True:
+            is_signalled = self.reloading.wait(_SETTINGS_PERIOD_S)
+            self.reloading.clear()
+            loaded = load()
+            if isinstance(loaded, Err):
+                self.log.warning(
+                    'settings_refused',
+                    reason=loaded.err_value.reason,
+                    remedy=loaded.err_value.remedy,
+                )
+            elif is_signalled or loaded.ok_value != self.settings:
+                self._reload(loaded.ok_value)
+
     def leave(self, *, returns: bool) -> None:
         """Tells every node that this process stops.
 
@@ -178,6 +227,18 @@
                 )
             self.clock.sleep_ms(period_ms)
 
+    def _reload(self, settings: FlowNodeSettings) -> None:
+        before = msgspec.structs.replace(
+            self.settings, contacts=settings.contacts
+        )
+        self.log.event(
+            'settings_reloaded',
+            contacts=','.join(settings.contacts),
+            needs_restart=before != settings,
+        )
+        self.introducer.add_contacts(settings.contacts)
+        self.settings = settings
+
     def _own_record(self) -> NodeRecord:
         settings = self.settings
         return NodeRecord(
--- a/anvilthread/flows/configuration_follower.py
+++ b/anvilthread/flows/configuration_follower.py
@@ -28,6 +28,10 @@
 #: Longest pause between two looks at the age.
 _LOOK_MS: Final = 100
 
+#: Time that a starting balancer gives its peers to tell the version, before
+#: it reads the store itself. Agents have more of a processor and start first.
+_PEERS_FIRST_MS: Final = 700
+
 #: Pause after a failed read, so that an outage is not made worse.
 _RETRY_MS: Final = 400
 
@@ -101,6 +105,7 @@
     def follow_store(self) -> None:
         """Reads the store whenever the last check is old, forever."""
         self._draw_limit()
+        self._await_peers()
         while True:
             checked_ms = self._routes.checked_ms
             if not 0 <= checked_ms < self._limit_ms:
@@ -162,6 +167,15 @@
         self._draw_limit()
         return _LOOK_MS
 
+    def _await_peers(self) -> None:
+        if self._roster.own.role != NodeRole.BALANCER:
+            return
+        started_ms = self._clock.now_ms()
+        while not self._routes.is_loaded:
+            if self._clock.now_ms() - started_ms > _PEERS_FIRST_MS:
+                return
+            self._clock.sleep_ms(_LOOK_MS)
+
     def _draw_limit(self) -> None:
         limit_ms = _CHECK_MS + self._random.randint(0, _SPREAD_MS)
         if self._roster.own.role == NodeRole.BALANCER:
--- a/anvilthread/flows/flow_agent.py
+++ b/anvilthread/flows/flow_agent.py
@@ -80,6 +80,7 @@
             network=network,
             form=form,
             roster=roster,
+            target=target,
             on_claim=self._claim,
             log=log,
             counters=counters,
@@ -173,7 +174,7 @@
             self._send_held(host, packet.key)
             self._deliver(packet, flow)
             return
-        self._search.start(host, packet, offers_own=self._may_hold())
+        self._search.start(host, packet, offers_own=not self.is_complete)
 
     def on_ask(self, host: str, message: Ask) -> None:
         """Answers whether the target holds a flow."""
@@ -189,7 +190,7 @@
             self._send_held(message.balancer, packet.key)
             self._send_held(host, packet.key)
             self._deliver(packet, flow)
-        elif not self._may_hold():
+        elif self.is_complete:
             self._network.send_node(host, NotHeld(key=packet.key))
         else:
             self._search.offer(host, packet, message.balancer)
@@ -253,10 +254,6 @@
         flow.is_open = True
         flow.balancer = balancer
 
-    def _may_hold(self) -> bool:
-        """Whether the target may hold flows that are not in the table."""
-        return self._target.is_heard and not self.is_complete
-
     def _on_bounced(self, packet: FlowPacket) -> None:
         content = self._form.unbounced(packet.content)
         original = self._form.from_client(content)
--- a/anvilthread/flows/flow_balancer.py
+++ b/anvilthread/flows/flow_balancer.py
@@ -153,8 +153,10 @@
     def tick(self) -> None:
         """Retries placements that were not confirmed, and forgets flows."""
         now_ms = self._clock.now_ms()
+        due: list[FlowKey] = []
         while self._opening and self._opening[0][0] <= now_ms:
-            _, key = self._opening.popleft()
+            due.append(self._opening.popleft()[1])
+        for key in due:
             self._check_opening(key, now_ms)
         self._forget(now_ms)
 
@@ -171,9 +173,14 @@
         service = route.choose(packet.key)
         flow = self._remember(packet.key, '', service)
         flow.opening = packet.content
-        if not self._place(flow) and self._is_settled():
+        if self._place(flow):
+            return
+        if self._finder.is_settled:
             self._flows.pop(packet.key)
             self._reset(packet.key, packet.acknowledged, 'no_agent')
+        else:
+            # This process has just started: the agents are yet to be heard.
+            self._opening.append((now_ms, packet.key))
 
     def _place_again(
         self, packet: FlowPacket, flow: BalancerFlow, reason: str
@@ -212,13 +219,15 @@
         if now_ms - flow.placed_ms > _ATTEMPT_MS:
             self._flows.pop(key)
             return
-        packet = self._form.from_client(flow.opening)
-        if packet is not None:
-            self._event('flow_unconfirmed', key, agent=flow.agent)
-            flow.tried.add(flow.agent)
-            if len(flow.tried) >= _MAX_TRIES or not self._place(flow):
-                # The next copy from the client starts over.
-                self._flows.pop(key)
+        if not flow.agent:
+            if not self._place(flow):
+                self._opening.append((now_ms, key))
+            return
+        self._event('flow_unconfirmed', key, agent=flow.agent)
+        flow.tried.add(flow.agent)
+        if len(flow.tried) >= _MAX_TRIES or not self._place(flow):
+            # The next copy from the client starts over.
+            self._flows.pop(key)
 
     def _send_place(self, opening: bytes, flow: BalancerFlow) -> None:
         message = Place(
@@ -261,10 +270,6 @@
         else:
             self._counters.add('packets_unrouted')
 
-    def _is_settled(self) -> bool:
-        """Whether missing agents are a fact rather than a late start."""
-        return self._finder.is_settled and self._routes.is_loaded
-
     def _remember(self, key: FlowKey, agent: str, service: str) -> BalancerFlow:
         flow = BalancerFlow(
             key=key,
--- a/anvilthread/flows/holder_search.py
+++ b/anvilthread/flows/holder_search.py
@@ -16,6 +16,7 @@
 from anvilthread.flows.packet_messages import Forward
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.search_messages import Absent, Ask, Held, NotHeld
+from anvilthread.flows.target_watch import TargetWatch
 from anvilthread.telemetry.log import Log
 
 #: A target returns a packet that it does not hold at once. One that was not
@@ -45,6 +46,7 @@
         network: Where messages and packets go.
         form: Codec of the packets.
         roster: Other agents of the service.
+        target: State of the own target.
         on_claim: Called with each flow that the own target holds.
         log: Receives one line per decision.
         counters: Counts of decisions.
@@ -61,6 +63,7 @@
         '_on_claim',
         '_roster',
         '_searches',
+        '_target',
     )
 
     def __init__(
@@ -70,6 +73,7 @@
         network: FlowNetwork,
         form: PacketForm,
         roster: Roster,
+        target: TargetWatch,
         on_claim: ClaimListener,
         log: Log,
         counters: FlowCounters,
@@ -78,6 +82,7 @@
         self._network = network
         self._form = form
         self._roster = roster
+        self._target = target
         self._on_claim = on_claim
         self._log = log
         self._counters = counters
@@ -187,7 +192,10 @@
                 self._counters.add('searches_timed_out')
 
     def _claim(self, offer: Offer) -> None:
-        """Tells that the target has kept a packet."""
+        """Tells that the target has kept a packet, if it is there at all."""
+        if not self._target.is_heard:
+            self._counters.add('offers_unanswered')
+            return
         self._on_claim(offer.key, offer.balancer)
         own = self._roster.own
         held = Held(key=offer.key, service=own.service)
--- a/anvilthread/flows/introducer.py
+++ b/anvilthread/flows/introducer.py
@@ -23,7 +23,7 @@
 _RECORDS_AT_ONCE: Final = 16
 
 #: Contacts tried at once while no node is known.
-_CONTACTS_AT_ONCE: Final = 6
+_CONTACTS_AT_ONCE: Final = 8
 
 
 class Introducer:
@@ -71,6 +71,13 @@
         own_host = self._roster.own.host
         self._contacts.update(host for host in hosts if host != own_host)
 
+    def greet(self, hosts: Iterable[str]) -> None:
+        """Greets hosts at which nodes may run, at once."""
+        hello = self._hello(wants_peers=True)
+        for host in hosts:
+            if host != self._roster.own.host:
+                self._network.send_node(host, hello)
+
     def announce(self) -> None:
         """Tells every known node the version of the configuration."""
         hello = self._hello(wants_peers=False)
@@ -80,8 +87,9 @@
 
     def on_hello(self, host: str, message: Hello) -> None:
         """Takes a node in, and tells it of others if it asks."""
-        is_new = self._roster.get(host) is None
+        before = self._roster.get(host)
         self._roster.hear(message.node)
+        is_new = before is None or before.record != message.node
         if message.wants_peers:
             self._send_peers(host)
         elif is_new:
@@ -95,7 +103,7 @@
             self._introduce(node)
 
     def tick(self) -> None:
-        """Greets whoever is due; called about every 100 ms."""
+        """Greets whoever is due; called some times a second."""
         if self._roster.is_alone:
             self._greet_contacts()
         for node in self._roster.nodes:
@@ -112,10 +120,8 @@
         self._roster.forget_silent()
 
     def _greet_contacts(self) -> None:
-        hello = self._hello(wants_peers=True)
         count = min(_CONTACTS_AT_ONCE, len(self._contacts))
-        for host in self._random.sample(sorted(self._contacts), count):
-            self._network.send_node(host, hello)
+        self.greet(self._random.sample(sorted(self._contacts), count))
 
     def _exchange(self) -> None:
         """Compares nodes with a random one, and tries a contact again."""
--- a/anvilthread/flows/roster.py
+++ b/anvilthread/flows/roster.py
@@ -1,6 +1,6 @@
 """The nodes that one node knows."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 from anvilthread.clock import Clock
@@ -19,6 +19,8 @@
 #: Unanswered introductions after which hearsay is dropped.
 _MAX_INTRODUCTIONS: Final = 5
 
+NodeListener = Callable[[KnownNode], None]
+
 
 class Roster:
     """Peers by host, from their own messages and from hearsay.
@@ -32,13 +34,14 @@
         log: Receives nodes that appear, change or are forgotten.
     """
 
-    __slots__ = ('_clock', '_log', '_nodes', '_own')
+    __slots__ = ('_clock', '_listeners', '_log', '_nodes', '_own')
 
     def __init__(self, *, clock: Clock, own: NodeRecord, log: Log) -> None:
         self._clock = clock
         self._own = own
         self._log = log
         self._nodes: dict[str, KnownNode] = {}
+        self._listeners: list[NodeListener] = []
 
     @property
     def own(self) -> NodeRecord:
@@ -52,8 +55,18 @@
 
     @property
     def is_alone(self) -> bool:
-        """Whether no peer has been heard yet."""
-        return all(node.heard_ms is None for node in self._nodes.values())
+        """Whether no peer of the other role has been heard yet.
+
+        A balancer cannot work without agents, nor an agent without balancers.
+        """
+        return all(
+            node.heard_ms is None or node.record.role == self._own.role
+            for node in self._nodes.values()
+        )
+
+    def subscribe(self, listener: NodeListener) -> None:
+        """Calls a listener with each process that is heard for the first time."""
+        self._listeners.append(listener)
 
     def get(self, host: str) -> KnownNode | None:
         """Returns the peer at a host."""
@@ -162,6 +175,8 @@
             incarnation=record.incarnation,
             previous=0 if before is None else before.record.incarnation,
         )
+        for listener in self._listeners:
+            listener(node)
         return node
 
 
--- a/anvilthread/flows/target_watch.py
+++ b/anvilthread/flows/target_watch.py
@@ -57,16 +57,16 @@
         '_cold_until_ms',
         '_departed',
         '_heard_ms',
-        '_interval_ms',
         '_last',
         '_log',
+        '_silence_ms',
         '_started_ms',
         '_was_present',
     )
 
     def __init__(self, *, clock: Clock, interval_ms: int, log: Log) -> None:
         self._clock = clock
-        self._interval_ms = interval_ms
+        self._silence_ms = interval_ms * _SILENT_INTERVALS
         self._log = log
         self._last: Heartbeat | None = None
         self._heard_ms = 0
@@ -93,15 +93,20 @@
     @property
     def is_heard(self) -> bool:
         """Whether the target has shown life lately."""
-        silence_ms = self._clock.now_ms() - self._heard_ms
-        return silence_ms <= self._interval_ms * _SILENT_INTERVALS
+        if self._last is None:
+            return False
+        return self._clock.now_ms() - self._heard_ms <= self._silence_ms
 
     @property
     def accepts(self) -> bool:
-        """Whether the target may be given new flows."""
-        if self._last is None or self._last.is_draining:
-            return False
-        return self.is_heard
+        """Whether the target may be given new flows.
+
+        Before the first heartbeat is due, a target is assumed to work: an
+        opening packet that it does not answer goes to another agent.
+        """
+        if self._last is None:
+            return self._clock.now_ms() - self._started_ms <= self._silence_ms
+        return self.is_heard and not self._last.is_draining
 
     @property
     def is_newborn(self) -> bool:
@@ -166,7 +171,6 @@
             return False
         self._departed.add(last.incarnation)
         self._last = msgspec.structs.replace(last, is_draining=True)
-        self._heard_ms = self._clock.now_ms() - self._interval_ms * 10
         self._log.event('target_departed', target=target)
         return True
 
--- a/standins/flow_cluster.py
+++ b/standins/flow_cluster.py
@@ -14,6 +14,7 @@
 from anvilthread.flows.flow_key import FlowKey, pack_endpoint
 from anvilthread.flows.flow_placement import FlowPlacement
 from anvilthread.flows.introducer import Introducer
+from anvilthread.flows.known_node import KnownNode
 from anvilthread.flows.message_codec import decode_message, encode_message
 from anvilthread.flows.messages import AnyMessage
 from anvilthread.flows.node_messages import Hello, Leaving, LoadReport, Peers
@@ -92,6 +93,7 @@
         self._cluster = cluster
         self._now = cluster.clock.now_ms
         self.roster = Roster(clock=cluster.clock, own=record, log=self.log)
+        self.roster.subscribe(self._report_to)
         self.routes = RouteHolder(clock=cluster.clock, log=self.log)
         self.introducer = Introducer(
             clock=cluster.clock,
@@ -214,6 +216,10 @@
             for node in self.roster.nodes:
                 self.send_node(node.host, report)
 
+    def _report_to(self, node: KnownNode) -> None:
+        if self.agent is not None:
+            self.send_node(node.host, self.agent.report())
+
     def _exchange(self, target: FlowTarget, content: bytes) -> None:
         answer = target.take(content)
         if answer is not None:
--- a/tests/flows/test_flows.py
+++ b/tests/flows/test_flows.py
@@ -265,3 +265,37 @@
         assert not len(node.agent.flows)
     assert cluster.balancers[0].balancer is not None
     assert cluster.balancers[0].balancer.flow_count == 0
+
+
+def test_opening_packet_waits_for_the_first_agent() -> None:
+    """Guards against 200 ms lost when all processes start at once."""
+    cluster = FlowCluster(balancers=1, agents=0)
+    cluster.add_balancer(0)
+    cluster.open(flow_key(1))
+    cluster.advance(40)
+    assert not cluster.packets(flow_key(1))
+    cluster.add_agent(0)
+    cluster.advance(150)
+    assert cluster.holder(flow_key(1)) is not None
+
+
+@pytest.mark.parametrize('is_told', [True, False])
+def test_restarted_agent_without_heartbeat_denies_nothing(
+    is_told: bool,
+) -> None:
+    """Guards against a reset while a restarted agent knows nothing yet."""
+    cluster = FlowCluster(balancers=2, agents=2)
+    _open_flows(cluster, 6)
+    for number in range(2):
+        node = cluster.add_agent(number)
+        if not is_told:
+            node.watch = type(node.watch)(
+                clock=cluster.clock, interval_ms=1200, log=node.log
+            )
+    cluster.advance(150)
+    for number in range(6):
+        cluster.request(flow_key(number), b'next', cluster.balancers[1])
+    cluster.advance(100)
+    for number in range(6):
+        assert not cluster.is_reset(flow_key(number))
+        assert len(cluster.bodies(flow_key(number))) == 2
