--- a/anvilthread/flow_node/agent_process.py
+++ b/anvilthread/flow_node/agent_process.py
@@ -1,7 +1,7 @@
 """The agent of flows as a process."""
 
 from collections.abc import Callable
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import gevent
 
@@ -18,6 +18,9 @@
 from anvilthread.flows.search_messages import Ask, Find, Held, NotHeld
 from anvilthread.flows.target_watch import Heartbeat, TargetWatch
 
+if TYPE_CHECKING:
+    from anvilthread.flow_node.flow_metrics import FlowMetrics
+
 #: Period of load reports to balancers. Shorter than the shortest aim (100 ms
 #: and more), so that a queue is seen while it matters.
 _REPORT_MS: Final = 100
@@ -91,6 +94,24 @@
         if node.record.role == NodeRole.BALANCER:
             self.process.network.send_node(node.host, self._agent.report())
 
+    def metrics(self) -> 'FlowMetrics':
+        """Makes the metrics of this process."""
+        # Its library is needed by the first scrape only.
+        from anvilthread.flow_node.flow_metrics import FlowMetrics
+
+        agent = self._agent
+        return FlowMetrics(
+            counters=self.process.counters,
+            latencies={'anvilthread_answer_seconds': agent.latencies},
+            gauges={
+                'anvilthread_flows': lambda: len(agent.flows),
+                'anvilthread_requests_working': lambda: (
+                    agent.flows.meter.working
+                ),
+                **self.process.gauges(),
+            },
+        )
+
     def start(
         self, source: ConfigurationSource, directory: NodeDirectory
     ) -> None:
--- a/anvilthread/flow_node/balancer_process.py
+++ b/anvilthread/flow_node/balancer_process.py
@@ -1,7 +1,7 @@
 """The balancer of flows as a process."""
 
 from collections.abc import Callable
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import gevent
 
@@ -17,6 +17,9 @@
 from anvilthread.flows.rendezvous_finder import RendezvousFinder
 from anvilthread.flows.search_messages import Absent, Held, NotHeld
 
+if TYPE_CHECKING:
+    from anvilthread.flow_node.flow_metrics import FlowMetrics
+
 #: Period in which unconfirmed placements are checked.
 _TICK_MS: Final = 20
 
@@ -63,6 +66,21 @@
             Absent: self._balancer.on_absent,
         }
 
+    def metrics(self) -> 'FlowMetrics':
+        """Makes the metrics of this process."""
+        # Its library is needed by the first scrape only.
+        from anvilthread.flow_node.flow_metrics import FlowMetrics
+
+        balancer = self._balancer
+        return FlowMetrics(
+            counters=self.process.counters,
+            latencies={'anvilthread_placement_seconds': balancer.latencies},
+            gauges={
+                'anvilthread_flows': lambda: balancer.flow_count,
+                **self.process.gauges(),
+            },
+        )
+
     def start(
         self, source: ConfigurationSource, directory: NodeDirectory
     ) -> None:
--- a/anvilthread/flow_node/flow_process.py
+++ b/anvilthread/flow_node/flow_process.py
@@ -44,6 +44,8 @@
 #: Time between two readings of the settings file without a signal.
 _SETTINGS_PERIOD_S: Final = 30
 
+_MS_PER_SECOND: Final = 1000
+
 SettingsLoader = Callable[[], Result[FlowNodeSettings, AnvilthreadError]]
 MessageHandler = Callable[[str, AnyMessage], None]
 
@@ -203,6 +205,18 @@
             elif is_signalled or loaded.ok_value != self.settings:
                 self._reload(loaded.ok_value)
 
+    def gauges(self) -> dict[str, Callable[[], float]]:
+        """Returns the present values that both roles show."""
+        return {
+            'anvilthread_configuration_version': lambda: (
+                self.routes.table.version
+            ),
+            'anvilthread_configuration_check_age_seconds': lambda: (
+                self.routes.checked_ms / _MS_PER_SECOND
+            ),
+            'anvilthread_nodes_known': lambda: len(self.roster.nodes),
+        }
+
     def leave(self, *, returns: bool) -> None:
         """Tells every node that this process stops.
 
--- a/anvilthread/flows/agent_flow.py
+++ b/anvilthread/flows/agent_flow.py
@@ -15,6 +15,7 @@
         'balancer',
         'is_closing',
         'is_open',
+        'request_id',
         'requested_ms',
         'requests',
         'used_ms',
@@ -29,6 +30,8 @@
         self.is_closing = False
         #: Arrival of a request that the target has not begun to answer.
         self.requested_ms: int | None = None
+        #: Id of the last request, for logs.
+        self.request_id = ''
         #: Requests so far.
         self.requests = 0
         #: Last position that the client has acknowledged.
--- a/anvilthread/flows/agent_flow_table.py
+++ b/anvilthread/flows/agent_flow_table.py
@@ -85,24 +85,33 @@
         if flow is not None:
             self._end_request(flow)
 
-    def note_client(self, packet: FlowPacket, flow: AgentFlow) -> None:
-        """Notes a packet from the client."""
+    def note_client(self, packet: FlowPacket, flow: AgentFlow) -> bool:
+        """Notes a packet from the client; returns whether a request begins."""
         flow.used_ms = self._clock.now_ms()
         flow.acknowledged = packet.acknowledged
-        if packet.size and flow.requested_ms is None:
-            flow.requested_ms = flow.used_ms
-            flow.requests += 1
-            self._meter.begin()
         if packet.is_fin or packet.is_reset:
             flow.is_closing = True
-
-    def note_target(self, packet: FlowPacket, flow: AgentFlow) -> None:
-        """Notes a packet from the target."""
+        if not packet.size or flow.requested_ms is not None:
+            return False
+        flow.requested_ms = flow.used_ms
+        flow.requests += 1
+        self._meter.begin()
+        return True
+
+    def note_target(self, packet: FlowPacket, flow: AgentFlow) -> int | None:
+        """Notes a packet from the target.
+
+        Returns:
+            Time from the request to its answer in ms, if the answer begins.
+        """
         flow.used_ms = self._clock.now_ms()
-        if packet.size:
-            self._end_request(flow)
         if packet.is_fin or packet.is_reset:
             flow.is_closing = True
+        requested_ms = flow.requested_ms
+        if not packet.size or requested_ms is None:
+            return None
+        self._end_request(flow)
+        return flow.used_ms - requested_ms
 
     def sweep(self) -> None:
         """Forgets flows that are over, and requests without an answer."""
--- a/anvilthread/flows/flow_agent.py
+++ b/anvilthread/flows/flow_agent.py
@@ -8,6 +8,7 @@
 from anvilthread.flows.flow_network import FlowNetwork
 from anvilthread.flows.flow_packet import FlowPacket
 from anvilthread.flows.holder_search import HolderSearch
+from anvilthread.flows.latency_buckets import LatencyBuckets
 from anvilthread.flows.node_messages import LoadReport
 from anvilthread.flows.packet_form import PacketForm
 from anvilthread.flows.packet_messages import Forward, Place, Refused
@@ -42,6 +43,7 @@
         '_flows',
         '_form',
         '_is_stopping',
+        '_latencies',
         '_log',
         '_network',
         '_roster',
@@ -85,6 +87,7 @@
             log=log,
             counters=counters,
         )
+        self._latencies = LatencyBuckets()
         self._sequence = 0
         self._started_ms = clock.now_ms()
         self._is_stopping = False
@@ -94,6 +97,11 @@
         """Flows of the target, as far as they are known."""
         return self._flows
 
+    @property
+    def latencies(self) -> LatencyBuckets:
+        """Times from a request to the begin of its answer."""
+        return self._latencies
+
     @property
     def accepts(self) -> bool:
         """Whether new flows may be placed here."""
@@ -208,7 +216,16 @@
             flow.is_open = True
             if flow.balancer:
                 self._send_held(flow.balancer, packet.key)
-        self._flows.note_target(packet, flow)
+        latency_ms = self._flows.note_target(packet, flow)
+        if latency_ms is not None:
+            self._latencies.observe(latency_ms)
+            self._event(
+                'request_answered',
+                packet.key,
+                request=flow.request_id,
+                status=self._form.status(packet.content),
+                took_ms=latency_ms,
+            )
         self._network.send_client(packet.key, packet.content)
 
     def on_target_restart(self, reason: str) -> None:
@@ -243,7 +260,16 @@
         self._event('flow_refused', packet.key, reason=reason, balancer=host)
 
     def _deliver(self, packet: FlowPacket, flow: AgentFlow) -> None:
-        self._flows.note_client(packet, flow)
+        if self._flows.note_client(packet, flow):
+            flow.request_id = self._form.request_id(packet.content)
+            self._event(
+                'request_delivered',
+                packet.key,
+                request=flow.request_id,
+                balancer=flow.balancer,
+                working=self._flows.meter.working,
+                slots=self._target.slots,
+            )
         self._network.send_target(packet.content)
 
     def _claim(self, key: FlowKey, balancer: str) -> None:
--- a/anvilthread/flows/flow_balancer.py
+++ b/anvilthread/flows/flow_balancer.py
@@ -10,6 +10,7 @@
 from anvilthread.flows.flow_network import FlowNetwork
 from anvilthread.flows.flow_packet import FlowPacket
 from anvilthread.flows.flow_placement import FlowPlacement
+from anvilthread.flows.latency_buckets import LatencyBuckets
 from anvilthread.flows.packet_form import PacketForm
 from anvilthread.flows.packet_messages import Forward, Place, Refused
 from anvilthread.flows.rendezvous_finder import RendezvousFinder
@@ -64,6 +65,7 @@
         '_finder',
         '_flows',
         '_form',
+        '_latencies',
         '_log',
         '_network',
         '_opening',
@@ -92,6 +94,7 @@
         self._finder = finder
         self._log = log
         self._counters = counters
+        self._latencies = LatencyBuckets()
         self._flows: dict[FlowKey, BalancerFlow] = {}
         self._opening: deque[tuple[int, FlowKey]] = deque()
         self._sweep: list[FlowKey] = []
@@ -101,6 +104,11 @@
         """Flows remembered."""
         return len(self._flows)
 
+    @property
+    def latencies(self) -> LatencyBuckets:
+        """Times from an opening packet to the confirmation of its agent."""
+        return self._latencies
+
     def on_packet(self, packet: FlowPacket) -> None:
         """Handles a packet from a client."""
         flow = self._flows.get(packet.key)
@@ -117,6 +125,8 @@
         flow = self._flows.get(key)
         if flow is None:
             flow = self._remember(key, host, message.service)
+        if not flow.is_held and flow.opening:
+            self._latencies.observe(self._clock.now_ms() - flow.placed_ms)
         flow.agent = host
         flow.is_held = True
         flow.opening = b''
--- a/anvilthread/flows/packet_form.py
+++ b/anvilthread/flows/packet_form.py
@@ -21,6 +21,12 @@
     def unbounced(self, content: bytes) -> bytes:
         """Returns a bounced packet as its sender has sent it."""
 
+    def request_id(self, content: bytes) -> str:
+        """Returns the id of the request that begins in a packet, for logs."""
+
+    def status(self, content: bytes) -> int:
+        """Returns the status of the answer that begins in a packet; 0 if none."""
+
     def reset(self, key: FlowKey, acknowledged: int) -> bytes:
         """Makes a packet that ends a flow at its client.
 
--- a/anvilthread/telemetry/series.py
+++ b/anvilthread/telemetry/series.py
@@ -1,5 +1,6 @@
 """The value of a metric for one set of labels."""
 
+import itertools
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -67,6 +68,19 @@
         """Counts one observation."""
         self._buckets.observe(float(amount))
 
+    def replace(self, counts: Sequence[int], total: float) -> None:
+        """Replaces all observations by counts made elsewhere.
+
+        Args:
+            counts: Observations in each bucket, not cumulated.
+            total: Sum of all observations.
+        """
+        cumulated = itertools.accumulate(counts)
+        buckets = zip(self._buckets.buckets, cumulated, strict=True)
+        self._buckets.buckets.update(buckets)
+        self._buckets.observations = sum(counts)
+        self._buckets.sum = total
+
     def sample(self) -> Histogram:
         """The buckets, their sum and their count."""
         return self._buckets
--- a/standins/flow_form.py
+++ b/standins/flow_form.py
@@ -75,6 +75,14 @@
             msgspec.structs.replace(packet, mark=0, is_bounced=False)
         )
 
+    def request_id(self, content: bytes) -> str:
+        """Returns the id of the request that begins in a packet, for logs."""
+        return decode_packet(content).body.decode()
+
+    def status(self, content: bytes) -> int:
+        """Returns the status of the answer that begins in a packet; 0 if none."""
+        return 200 if decode_packet(content).body else 0
+
     def reset(self, key: FlowKey, acknowledged: int) -> bytes:
         """Makes a packet that ends a flow at its client."""
         return encode_packet(
