Keep resets and silence of a starting target from other targets' flows

The agent of a VM that was just added offers packets of flows that are sought to its target, which is not up yet: silence was taken for acceptance once the first heartbeat came, and a reset of the target went to the client. Change: an offer counts only if the target had shown life before it; a reset for a flow that the target has not accepted stays here. Test: test_new_agent_takes_no_foreign_flow, failed before.

--- a/anvilthread/flows/flow_agent.py
+++ b/anvilthread/flows/flow_agent.py
@@ -210,6 +210,9 @@
             return
         self._target.on_packet()
         flow = self._flows.get(packet.key)
+        if packet.is_reset and (flow is None or not flow.is_open):
+            self._on_foreign_reset(packet.key, flow)
+            return
         if flow is None:
             flow = self._flows.add(packet.key, '')
         if not flow.is_open:
@@ -280,6 +283,14 @@
         flow.is_open = True
         flow.balancer = balancer
 
+    def _on_foreign_reset(self, key: FlowKey, flow: AgentFlow | None) -> None:
+        """Keeps a reset from a client whose flow another target may hold."""
+        self._event('foreign_reset', key, is_known=flow is not None)
+        self._search.on_reset(key)
+        self._flows.remove(key)
+        if flow is not None and flow.balancer:
+            self._network.send_node(flow.balancer, NotHeld(key=key))
+
     def _on_bounced(self, packet: FlowPacket) -> None:
         content = self._form.unbounced(packet.content)
         original = self._form.from_client(content)
--- a/anvilthread/flows/holder_search.py
+++ b/anvilthread/flows/holder_search.py
@@ -138,6 +138,7 @@
             finder=finder,
             balancer=balancer,
             started_ms=self._clock.now_ms(),
+            is_heard=self._target.is_heard,
         )
         self._network.send_target(self._form.marked(packet.content, mark))
         self._event('flow_offered', packet.key, finder=finder)
@@ -154,14 +155,16 @@
         offer = self._offers.pop(mark, None)
         if offer is None:
             return False
-        message = NotHeld(key=offer.key)
-        own_host = self._roster.own.host
-        if offer.finder == own_host:
-            self.on_not_held(own_host, message)
-        else:
-            self._network.send_node(offer.finder, message)
+        self._deny(offer)
         return True
 
+    def on_reset(self, key: FlowKey) -> None:
+        """Handles a reset of the target for a flow that it does not hold."""
+        for mark, offer in list(self._offers.items()):
+            if offer.key == key:
+                self._offers.pop(mark)
+                self._deny(offer)
+
     def on_held(self, host: str, message: Held) -> None:
         """Ends a search: sends what has waited to the holder."""
         search = self._searches.pop(FlowKey(message.key), None)
@@ -191,9 +194,17 @@
                 self._searches.pop(key)
                 self._counters.add('searches_timed_out')
 
+    def _deny(self, offer: Offer) -> None:
+        message = NotHeld(key=offer.key)
+        own_host = self._roster.own.host
+        if offer.finder == own_host:
+            self.on_not_held(own_host, message)
+        else:
+            self._network.send_node(offer.finder, message)
+
     def _claim(self, offer: Offer) -> None:
         """Tells that the target has kept a packet, if it is there at all."""
-        if not self._target.is_heard:
+        if not (offer.is_heard and self._target.is_heard):
             self._counters.add('offers_unanswered')
             return
         self._on_claim(offer.key, offer.balancer)
--- a/anvilthread/flows/offer.py
+++ b/anvilthread/flows/offer.py
@@ -13,9 +13,12 @@
         finder: Host of the agent that looks for the holder.
         balancer: Host of the balancer that has the packets of the flow.
         started_ms: Time of the offer.
+        is_heard: Whether the target had shown life before the offer. What a
+            target that is yet to start does not return, it does not hold.
     """
 
     key: FlowKey
     finder: str
     balancer: str
     started_ms: int
+    is_heard: bool
--- a/standins/flow_target.py
+++ b/standins/flow_target.py
@@ -24,6 +24,8 @@
         self.max_flows = max_flows
         self.is_up = True
         self.is_draining = False
+        #: Whether data of foreign flows is answered with a reset.
+        self.resets_foreign = False
         self.sequence = 0
         #: Requests answered by flow.
         self.flows: dict[bytes, int] = {}
@@ -45,7 +47,7 @@
         if packet.flags == 'S':
             return self._open(packet)
         if packet.key not in self.flows:
-            return self._bounce(packet)
+            return self._refuse(packet)
         if 'F' in packet.flags or 'R' in packet.flags:
             self.flows.pop(packet.key)
             return encode_packet(PlainPacket(key=packet.key, flags='AF'))
@@ -70,6 +72,11 @@
             self.flows[packet.key] = 0
         return encode_packet(PlainPacket(key=packet.key, flags='SA'))
 
+    def _refuse(self, packet: PlainPacket) -> bytes:
+        if self.resets_foreign:
+            return encode_packet(PlainPacket(key=packet.key, flags='R'))
+        return self._bounce(packet)
+
     def _bounce(self, packet: PlainPacket) -> bytes:
         self.bounced.append(packet.key)
         return encode_packet(msgspec.structs.replace(packet, is_bounced=True))
--- a/tests/flows/test_flows.py
+++ b/tests/flows/test_flows.py
@@ -299,3 +299,37 @@
     for number in range(6):
         assert not cluster.is_reset(flow_key(number))
         assert len(cluster.bodies(flow_key(number))) == 2
+
+
+@pytest.mark.parametrize('resets', [True, False])
+def test_new_agent_takes_no_foreign_flow(resets: bool) -> None:
+    """Guards against a flow taken over or reset beside a target that starts.
+
+    The agent of a new VM is asked for a flow while its target is not up yet,
+    or has just come up and answers data of foreign flows with a reset.
+    """
+    cluster = FlowCluster(balancers=2, agents=3)
+    _open_flows(cluster, 20)
+    node = cluster.add_agent(7)
+    target = node.target
+    assert target is not None
+    target.is_up = resets
+    target.resets_foreign = resets
+    node.watch.__init__(  # type: ignore[misc]
+        clock=cluster.clock, interval_ms=1200, log=node.log
+    )
+    cluster.advance(130)
+    for number in range(20):
+        cluster.request(flow_key(number), b'next', cluster.balancers[1])
+    cluster.advance(20)
+    target.is_up = True
+    node.heartbeat()
+    cluster.advance(100)
+    for number in range(20):
+        cluster.request(flow_key(number), b'last', cluster.balancers[1])
+    cluster.advance(20)
+    assert not target.flows
+    assert node.counters.counts.get('flow_recovered', 0) == 0
+    for number in range(20):
+        assert not cluster.is_reset(flow_key(number))
+        assert len(cluster.bodies(flow_key(number))) == 3
