--- a/anvilthread/flow_node/agent_process.py
+++ b/anvilthread/flow_node/agent_process.py
@@ -15,19 +15,18 @@
 from anvilthread.flows.node_record import NodeRole
 from anvilthread.flows.packet_form import PacketForm
 from anvilthread.flows.packet_messages import Forward, Place
+from anvilthread.flows.report_period import (
+    balancer_period_ms,
+)
 from anvilthread.flows.search_messages import Ask, Find, Held, NotHeld
 from anvilthread.flows.target_watch import Heartbeat, TargetWatch
 
 if TYPE_CHECKING:
     from anvilthread.flow_node.flow_metrics import FlowMetrics
 
-#: Period of load reports to balancers. Shorter than the shortest aim (100 ms
-#: and more), so that a queue is seen while it matters.
-_REPORT_MS: Final = 100
-
-#: Every this many reports one goes to the agents of the service, which need
-#: it only to know each other.
-_AGENT_REPORTS: Final = 5
+#: Period of reports to the agents of the service, which need them only to
+#: know each other.
+_AGENT_REPORT_MS: Final = 500
 
 #: Period in which offers and searches are checked.
 _TICK_MS: Final = 20
@@ -60,7 +59,6 @@
     def __init__(self, *, settings: FlowNodeSettings, form: PacketForm) -> None:
         assert settings.outbound_address is not None
         self._form = form
-        self._rounds = 0
         self.process = FlowProcess(
             settings=settings, packet_endpoint=settings.outbound_address
         )
@@ -92,7 +90,9 @@
     def _report_to(self, node: KnownNode) -> None:
         """Has a balancer that has just started know the target at once."""
         if node.record.role == NodeRole.BALANCER:
-            self.process.network.send_node(node.host, self._agent.report())
+            self.process.network.send_node(
+                node.host, self._agent.report(_AGENT_REPORT_MS)
+            )
 
     def metrics(self) -> 'FlowMetrics':
         """Makes the metrics of this process."""
@@ -120,7 +120,8 @@
         gevent.spawn(self.process.packets.serve, self._on_target_packet)
         self.process.roster.subscribe(self._report_to)
         self.process.every(_TICK_MS, self._agent.search.tick)
-        self.process.every(_REPORT_MS, self._report)
+        gevent.spawn(self._report_to_balancers)
+        self.process.every(_AGENT_REPORT_MS, self._report_to_agents)
         self.process.every(_SWEEP_MS, self._agent.flows.sweep)
 
     def wait(self) -> None:
@@ -154,21 +155,28 @@
             self._agent.on_target_restart('target_stopped')
             self._report_to_all()
 
-    def _report(self) -> None:
-        self._rounds += 1
-        report = self._agent.report()
-        now_ms = self.process.clock.now_ms()
-        for node in self.process.roster.balancers():
-            heard_ms = node.heard_ms
-            if heard_ms is None or now_ms - heard_ms > _BALANCER_SILENCE_MS:
-                continue
+    def _report_to_balancers(self) -> None:
+        process = self.process
+        while True:
+            agents = process.roster.agent_count + 1
+            period_ms = balancer_period_ms(agents)
+            report = self._agent.report(period_ms)
+            now_ms = process.clock.now_ms()
+            for node in process.roster.balancers():
+                heard_ms = node.heard_ms
+                if heard_ms and now_ms - heard_ms <= _BALANCER_SILENCE_MS:
+                    process.network.send_node(node.host, report)
+            process.clock.sleep_ms(period_ms)
+
+    def _report_to_agents(self) -> None:
+        """Reports to the agents of the service, which look for flows."""
+        service = self.process.settings.service
+        report = self._agent.report(_AGENT_REPORT_MS)
+        for node in self.process.roster.agents(service):
             self.process.network.send_node(node.host, report)
-        if self._rounds % _AGENT_REPORTS == 0:
-            for agent in self.process.roster.agents(report.node.service):
-                self.process.network.send_node(agent.host, report)
 
     def _report_to_all(self) -> None:
-        report = self._agent.report()
+        report = self._agent.report(_AGENT_REPORT_MS)
         for node in self.process.roster.nodes:
             self.process.network.send_node(node.host, report)
 
--- a/anvilthread/flows/flow_agent.py
+++ b/anvilthread/flows/flow_agent.py
@@ -124,8 +124,12 @@
         """Refuses new flows from now on."""
         self._is_stopping = True
 
-    def report(self) -> LoadReport:
-        """Describes the load of the target."""
+    def report(self, period_ms: int = 0) -> LoadReport:
+        """Describes the load of the target.
+
+        Args:
+            period_ms: Time until the next report at the latest.
+        """
         self._sequence += 1
         return LoadReport(
             node=self._roster.own,
@@ -134,6 +138,7 @@
             working=self._flows.meter.working + self._flows.opening,
             busy=round(self._flows.meter.mean, 3),
             flows=self._flows.long_flows,
+            period_ms=period_ms,
             slots=self._target.slots,
             cold_ms=self._target.cold_ms,
             version=self._routes.table.version,
--- a/anvilthread/flows/flow_placement.py
+++ b/anvilthread/flows/flow_placement.py
@@ -8,10 +8,6 @@
 from anvilthread.flows.known_node import KnownNode
 from anvilthread.flows.roster import Roster
 
-#: An agent whose last report is older is passed over while others are left;
-#: several reports were lost then, or the agent is down.
-_FRESH_MS: Final = 450
-
 #: Agents drawn at random, of which the least loaded is taken. Several
 #: balancers that all took the least loaded of all by the same report would
 #: send it a burst (Mitzenmacher, The Power of Two Choices, 2001).
@@ -52,7 +48,7 @@
             for node in self._roster.agents(service)
             if node.accepts and node.host not in excluded
         ]
-        fresh = [node for node in agents if node.age_ms(now_ms) <= _FRESH_MS]
+        fresh = [node for node in agents if node.is_fresh(now_ms)]
         usable = fresh or agents
         if not usable:
             return None
--- a/anvilthread/flows/known_node.py
+++ b/anvilthread/flows/known_node.py
@@ -12,6 +12,9 @@
 #: A cold target works this many times slower; the figure of the site files.
 _COLD_FACTOR: Final = 1.6
 
+#: Periods without a report after which a peer is taken for silent.
+_LOST_REPORTS: Final = 4.5
+
 #: Weights of the requests at work now and of their recent mean. Equal weights
 #: since either alone misleads: the count is old by up to a report period, and
 #: the mean is slow to show a new queue.
@@ -99,6 +102,13 @@
             requests = (requests + 1) * _COLD_FACTOR
         return requests / max(report.slots, 1)
 
+    def is_fresh(self, now_ms: int) -> bool:
+        """Whether the last report is recent; several were lost otherwise."""
+        report = self._report
+        if report is None:
+            return False
+        return self.age_ms(now_ms) <= report.period_ms * _LOST_REPORTS
+
     def age_ms(self, now_ms: int) -> int:
         """Age of the last report."""
         return now_ms - self._reported_ms
--- a/anvilthread/flows/node_messages.py
+++ b/anvilthread/flows/node_messages.py
@@ -14,6 +14,7 @@
         working: Requests that the target has not begun to answer.
         busy: Mean of ``working`` over the last second or so.
         flows: Open flows that have carried more than one request.
+        period_ms: Time until the next report at the latest.
         slots: Requests that the target processes at a time.
         cold_ms: Time for which the target is still slow after its start.
         version: Version of the configuration in force.
@@ -27,6 +28,7 @@
     working: int
     busy: float
     flows: int
+    period_ms: int
     slots: int
     cold_ms: int
     version: int
--- a/anvilthread/flows/rendezvous_finder.py
+++ b/anvilthread/flows/rendezvous_finder.py
@@ -5,13 +5,9 @@
 
 from anvilthread.clock import Clock
 from anvilthread.flows.flow_key import FlowKey
-from anvilthread.flows.known_node import KnownNode
 from anvilthread.flows.roster import Roster
 from anvilthread.routing.rendezvous import score
 
-#: Agents silent for longer are not asked to look for a holder.
-_LIVE_MS: Final = 450
-
 #: A node that started this recently may not know all agents yet.
 _SETTLING_MS: Final = 3000
 
@@ -52,7 +48,7 @@
             for node in self._roster.agents(service)
             if node.heard_ms is not None and not node.is_leaving
         ]
-        live = [node for node in agents if _is_live(node, now_ms)]
+        live = [node for node in agents if node.is_fresh(now_ms)]
         key_hash = zlib.crc32(key)
         best = max(
             live or agents,
@@ -60,7 +56,3 @@
             default=None,
         )
         return None if best is None else best.host
-
-
-def _is_live(node: KnownNode, now_ms: int) -> bool:
-    return now_ms - (node.heard_ms or 0) <= _LIVE_MS
--- a/anvilthread/flows/roster.py
+++ b/anvilthread/flows/roster.py
@@ -81,6 +81,13 @@
             and node.record.role == NodeRole.AGENT
         ]
 
+    @property
+    def agent_count(self) -> int:
+        """Agents of all services."""
+        return sum(
+            node.record.role == NodeRole.AGENT for node in self._nodes.values()
+        )
+
     def balancers(self) -> list[KnownNode]:
         """Returns all balancers."""
         return [
--- a/standins/flow_cluster.py
+++ b/standins/flow_cluster.py
@@ -212,13 +212,13 @@
 
     def _report(self) -> None:
         if self.agent is not None:
-            report = self.agent.report()
+            report = self.agent.report(GREETING_MS)
             for node in self.roster.nodes:
                 self.send_node(node.host, report)
 
     def _report_to(self, node: KnownNode) -> None:
         if self.agent is not None:
-            self.send_node(node.host, self.agent.report())
+            self.send_node(node.host, self.agent.report(GREETING_MS))
 
     def _exchange(self, target: FlowTarget, content: bytes) -> None:
         answer = target.take(content)
--- a/tests/flows/test_message_codec.py
+++ b/tests/flows/test_message_codec.py
@@ -26,6 +26,7 @@
             working=2,
             busy=1.5,
             flows=3,
+            period_ms=100,
             slots=2,
             cold_ms=0,
             version=3,
