Add a fault soak of the real programs, with stand-ins for the platform

Six mutants of the programs are noticed (tests/soak/test_mutants.py), and each check is broken once directly (tests/soak/test_ledger.py).

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,12 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
-SOURCES = anvilthread platform standins demo benchmarks examples tests tools
+SOURCES = anvilthread platform standins soak demo benchmarks examples tests tools
 
-.PHONY: setup test lint format types demo bench binary
+.PHONY: setup test lint format types demo bench binary soak
+
+SEED ?= 1
+SEEDS ?= 1
+SECONDS ?= 20
 
 setup: $(VENV)/.installed
 
@@ -23,6 +27,7 @@
 
 types: setup
 	$(PYTHON) -m mypy
+	MYPYPATH=platform $(PYTHON) -m mypy --explicit-package-bases platform/*.py
 
 demo: setup
 	$(PYTHON) -m demo
@@ -34,3 +39,6 @@
 	$(PYTHON) -m tools.binary dist/anvilthread
 	$(PYTHON) -I -S tools/smoke_test.py dist/anvilthread
 	$(PYTHON) -m tools.serve_test dist/anvilthread
+
+soak: setup
+	$(PYTHON) -m soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized, seeded soak of the real programs under faults."""
--- /dev/null
+++ b/soak/cluster.py
@@ -0,0 +1,242 @@
+"""The real programs as processes on loopback addresses."""
+
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from random import Random
+from typing import Final
+
+import gevent
+import msgspec
+
+from soak.ledger import Ledger
+from standins.free_port import free_port
+from standins.metadata_server import MetadataServer
+from standins.platform_client import PlatformClient
+from standins.platform_router import PlatformRouter
+from standins.platform_target import PlatformTarget
+
+ROOT: Final = Path(__file__).resolve().parent.parent
+SERVICES: Final = ('bookings', 'statements')
+
+#: Port of the route of each service, and of one that comes and goes.
+ROUTES: Final = {443: 'bookings', 8443: 'statements'}
+EXTRA_PORT: Final = 9443
+SERVICE_HOST: Final = '198.18.0.1'
+
+_HEARTBEAT_MS: Final = 300
+_PORT_NAMES: Final = ('data', 'ready', 'control', 'app', 'outbound')
+
+
+class SoakCluster:
+    """Balancers, agents with targets, clients, routers and a store.
+
+    Every VM is one address of the loopback network, so that all of them can
+    use the same ports, as on the platform.
+
+    Args:
+        seed: Seed of every random choice of the stand-ins.
+        balancers: Number of balancers.
+        agents: Number of agents of each service.
+        program: Words that start a process, for faults put in on purpose.
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        balancers: int = 3,
+        agents: int = 3,
+        program: tuple[str, ...] = (),
+    ) -> None:
+        self.random = Random(seed)
+        self._program = program or (
+            sys.executable,
+            str(ROOT / 'platform' / 'main.py'),
+        )
+        self.ports = {name: free_port() for name in _PORT_NAMES}
+        self._node_port = free_port()
+        self._network = f'127.{self.random.randint(1, 250)}'
+        self.store = MetadataServer(
+            endpoint=('127.0.0.1', free_port()), seed=seed
+        )
+        self.balancers = [self._host(1, it) for it in range(balancers)]
+        self.targets: dict[str, PlatformTarget] = {}
+        self.services: dict[str, str] = {}
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._version = 0
+        self.ledger = Ledger(holder=self._holder)
+        self._folder = tempfile.TemporaryDirectory(prefix='anvilthread-soak-')
+        self._starts = 0
+        self._agent_count = agents
+
+    @property
+    def hosts(self) -> list[str]:
+        """Addresses of all VMs with a process."""
+        return [*self.balancers, *self.services]
+
+    def start(self) -> None:
+        """Starts everything and waits until a flow could be served."""
+        self.store.start()
+        self.configure(())
+        for index in range(self._agent_count * len(SERVICES)):
+            host = self._host(2, index)
+            self.services[host] = SERVICES[index % len(SERVICES)]
+        for host in self.hosts:
+            self.start_process(host)
+        for host in self.services:
+            self.start_target(host)
+        self.router = PlatformRouter(
+            balancers=self.balancers,
+            data_port=self.ports['data'],
+            ready_port=self.ports['ready'],
+            random=self.random,
+        )
+        self.clients = [
+            PlatformClient(
+                host=self._host(3, index),
+                port=self.ports['data'],
+                router=self.router,
+                observer=self.ledger,
+                random=self.random,
+            )
+            for index in range(4)
+        ]
+
+    def stop(self) -> None:
+        """Ends every process that was started here."""
+        for host in list(self.processes):
+            self.kill(host)
+        for target in self.targets.values():
+            target.stop()
+        self.store.stop()
+        self._folder.cleanup()
+
+    def configure(self, extra: tuple[int, ...]) -> None:
+        """Writes a configuration with further ports for bookings."""
+        self._version += self.random.randint(1, 5)
+        routes = {**ROUTES, **dict.fromkeys(extra, SERVICES[0])}
+        document = {
+            'version': self._version,
+            'routes': [
+                {
+                    'name': f'r-{port}',
+                    'host': SERVICE_HOST,
+                    'prefix': f'/{port}/',
+                    'service': service,
+                }
+                for port, service in routes.items()
+            ],
+            'limits': {'idle_timeout_ms': 15_000},
+        }
+        self.store.write('op/config', msgspec.json.encode(document))
+
+    def start_process(self, host: str) -> None:
+        """Starts the process of a VM."""
+        path = Path(self._folder.name) / f'{host}.toml'
+        path.write_text(self._settings(host))
+        log = Path(self._folder.name) / f'{host}.log'
+        with log.open('ab') as output:
+            self.processes[host] = subprocess.Popen(
+                self._program,
+                cwd=ROOT,
+                env={
+                    **os.environ,
+                    'ANVILTHREAD_BOOT': str(path),
+                    'PYTHONPATH': str(ROOT),
+                },
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    def signal(self, host: str, number: signal.Signals) -> None:
+        """Sends a signal to the process of a VM, if it still runs."""
+        process = self.processes.get(host)
+        if process is not None and process.poll() is None:
+            process.send_signal(number)
+
+    def kill(self, host: str) -> None:
+        """Kills the process of a VM."""
+        process = self.processes.pop(host, None)
+        if process is not None:
+            process.kill()
+            process.wait()
+
+    def wait_exit(self, host: str, limit_s: float) -> bool:
+        """Waits for a process that was asked to stop."""
+        deadline_s = time.monotonic() + limit_s
+        process = self.processes.get(host)
+        while process is not None and process.poll() is None:
+            if time.monotonic() > deadline_s:
+                return False
+            gevent.sleep(0.02)
+        # Another fault may have killed it, and started it again, meanwhile.
+        if self.processes.get(host) is process:
+            self.processes.pop(host, None)
+        return True
+
+    def start_target(self, host: str) -> None:
+        """Starts a target, in place of an earlier one if any."""
+        before = self.targets.pop(host, None)
+        if before is not None:
+            before.stop()
+        self._starts += 1
+        self.targets[host] = PlatformTarget(
+            name=f'i-{self._starts}',
+            service=self.services[host],
+            host=host,
+            ports=self.ports,
+            observer=self.ledger,
+            random=self.random,
+        )
+
+    def log_of(self, host: str) -> str:
+        """Returns what a process has logged."""
+        path = Path(self._folder.name) / f'{host}.log'
+        return path.read_text() if path.exists() else ''
+
+    def _holder(self, end: tuple[str, int]) -> PlatformTarget | None:
+        for target in self.targets.values():
+            if target.holds(end):
+                return target
+        return None
+
+    def _host(self, group: int, index: int) -> str:
+        return f'{self._network}.{group}.{index + 1}'
+
+    def _settings(self, host: str) -> str:
+        ports = self.ports
+        is_agent = host in self.services
+        lines = [
+            f'node_name = "{host}"',
+            f'ip = "{host}"',
+            'zone = "site-a"',
+            f'serves = ["{"side" if is_agent else "edge"}"]',
+            f'internal_port_range = [{self._node_port}, {self._node_port + 9}]',
+            f'heartbeat_interval_ms = {_HEARTBEAT_MS}',
+            f'seed_nodes = {_quoted(self.balancers, ports["control"])}',
+        ]
+        if is_agent:
+            lines += [
+                f'app = "{host}:{ports["app"]}"',
+                f'service = "{self.services[host]}"',
+            ]
+        lines += [
+            '[bind_addresses]',
+            f'datagram_endpoint = "{host}:{ports["data"]}"',
+            f'readiness = "{host}:{ports["ready"]}"',
+            f'control_plane = "{host}:{ports["control"]}"',
+            f'outbound = "{host}:{ports["outbound"]}"' if is_agent else '',
+            '[platform]',
+            f'address = "127.0.0.1:{self.store.port}"',
+        ]
+        return '\n'.join(lines)
+
+
+def _quoted(hosts: list[str], port: int) -> str:
+    entries = ', '.join(f'"{host}:{port}"' for host in hosts)
+    return f'[{entries}]'
--- /dev/null
+++ b/standins/platform_client.py
@@ -0,0 +1,196 @@
+"""Clients of the platform's flows."""
+
+import itertools
+import time
+from random import Random
+from typing import Final, Protocol
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+
+from standins.platform_packet import (
+    ACK,
+    FIN,
+    RESET,
+    SYN,
+    EndPacket,
+    read_packet,
+)
+from standins.platform_router import PlatformRouter
+
+_COPIES_S: Final = (0.2, 0.4, 0.8)
+_RETRANSMIT_S: Final = 0.2
+_ANSWER_LIMIT_S: Final = 4.0
+
+
+class ClientObserver(Protocol):
+    """Told of everything that clients see."""
+
+    def on_ask(self, request: str, service: str) -> None:
+        """A client sends a request."""
+
+    def on_answer(self, request: str, service: str, body: bytes) -> None:
+        """A client has received an answer."""
+
+    def on_reset(self, flow: 'ClientFlow') -> None:
+        """A client was sent a reset of an open flow."""
+
+    def on_altered(self, target: str) -> None:
+        """A client was sent a packet that its sender did not write so."""
+
+
+class ClientFlow:
+    """One flow at its client.
+
+    Args:
+        end: Address and port of the client.
+        service_end: Address and port of the service.
+        start: First sequence number.
+    """
+
+    def __init__(
+        self,
+        *,
+        end: tuple[str, int],
+        service_end: tuple[str, int],
+        start: int,
+    ) -> None:
+        self.end = end
+        self.service_end = service_end
+        self.sequence = start
+        self.acknowledged = 0
+        self.is_open = False
+        self.is_reset = False
+        self.answer = b''
+        self.changed = Event()
+
+
+class PlatformClient:
+    """Opens flows from one address.
+
+    Args:
+        host: Address of the client.
+        port: Port at which every client receives packets.
+        router: Where its packets go.
+        observer: Told of what happens here.
+        random: Source of sequence numbers.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        router: PlatformRouter,
+        observer: ClientObserver,
+        random: Random,
+    ) -> None:
+        self._host = host
+        self._router = router
+        self._observer = observer
+        self._random = random
+        self._ports = itertools.count(1024)
+        self._flows: dict[int, ClientFlow] = {}
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((host, port))
+        gevent.spawn(self._receive)
+
+    def open(self, service_end: tuple[str, int]) -> ClientFlow | None:
+        """Opens a flow; None if the attempt ends without one."""
+        port = next(self._ports)
+        flow = ClientFlow(
+            end=(self._host, port),
+            service_end=service_end,
+            start=self._random.getrandbits(30),
+        )
+        self._flows[port] = flow
+        for copy, wait_s in enumerate(_COPIES_S):
+            self._send(flow, SYN, b'', acknowledged=copy)
+            flow.changed.wait(wait_s)
+            if flow.is_open:
+                flow.sequence += 1
+                return flow
+            if flow.is_reset:
+                break
+        self._flows.pop(port, None)
+        return None
+
+    def request(self, flow: ClientFlow, request: str, service: str) -> bool:
+        """Sends a request and waits; returns whether the answer came."""
+        text = f'GET / HTTP/1.1\r\nX-Request-Id: {request}\r\n\r\n'.encode()
+        self._observer.on_ask(request, service)
+        flow.answer = b''
+        started_s = time.monotonic()
+        wait_s = _RETRANSMIT_S
+        while time.monotonic() - started_s < _ANSWER_LIMIT_S:
+            flow.changed.clear()
+            self._send(flow, ACK, text)
+            flow.changed.wait(wait_s)
+            wait_s = min(wait_s * 2, 1.6)
+            if flow.answer or flow.is_reset:
+                break
+        if not flow.answer:
+            return False
+        flow.sequence += len(text)
+        self._observer.on_answer(request, service, flow.answer)
+        self._send(flow, ACK, b'')
+        return True
+
+    def close(self, flow: ClientFlow) -> None:
+        """Ends a flow."""
+        if not flow.is_reset:
+            self._send(flow, FIN | ACK, b'')
+        self._flows.pop(flow.end[1], None)
+
+    def _send(
+        self,
+        flow: ClientFlow,
+        flags: int,
+        body: bytes,
+        acknowledged: int | None = None,
+    ) -> None:
+        packet = EndPacket(
+            source=flow.end,
+            destination=flow.service_end,
+            flags=flags,
+            sequence=flow.sequence,
+            acknowledged=(
+                flow.acknowledged if acknowledged is None else acknowledged
+            ),
+            body=body,
+        )
+        self._router.send(packet.encode(), (flow.end, flow.service_end))
+
+    def _receive(self) -> None:
+        while True:
+            content, _ = self._socket.recvfrom(2048)
+            packet, is_intact = read_packet(content)
+            flow = self._flows.get(packet.destination[1])
+            if flow is None:
+                continue
+            if packet.flags & RESET:
+                self._reset(flow)
+            elif is_intact:
+                self._take(flow, packet)
+            else:
+                self._observer.on_altered(self._host)
+
+    def _reset(self, flow: ClientFlow) -> None:
+        flow.is_reset = True
+        if flow.is_open:
+            self._observer.on_reset(flow)
+        flow.changed.set()
+
+    def _take(self, flow: ClientFlow, packet: EndPacket) -> None:
+        if packet.flags & SYN:
+            if not flow.is_open:
+                flow.is_open = True
+                flow.acknowledged = packet.sequence + 1
+                flow.changed.set()
+        elif packet.body and packet.sequence == flow.acknowledged:
+            flow.acknowledged += len(packet.body)
+            flow.answer = packet.body
+            flow.changed.set()
+        elif packet.body:
+            self._send(flow, ACK, b'')
--- /dev/null
+++ b/standins/platform_target.py
@@ -0,0 +1,254 @@
+"""A target of the platform: flows over UDP, heartbeats over HTTP."""
+
+import re
+import struct
+import time
+from http.client import HTTPConnection
+from random import Random
+from typing import Final, Protocol
+
+import gevent
+import msgspec
+from gevent import socket
+
+from standins.platform_packet import (
+    ACK,
+    BOUNCED,
+    FIN,
+    RESET,
+    SYN,
+    EndPacket,
+    read_packet,
+)
+
+_REQUEST_ID: Final = re.compile(rb'X-Request-Id: ([^\r]+)')
+_RETRANSMIT_S: Final = 0.2
+_RETRANSMISSIONS: Final = 6
+_BEAT_S: Final = 0.3
+_BEAT_TIMEOUT_S: Final = 1.0
+
+
+class TargetObserver(Protocol):
+    """Told of everything that a target sees."""
+
+    def on_run(self, request: str, service: str, target: str) -> None:
+        """A target begins to work on a request."""
+
+    def on_opening(self, target: 'PlatformTarget') -> None:
+        """An opening packet has reached a target."""
+
+    def on_altered(self, target: str) -> None:
+        """A packet has reached a target that its sender did not write so."""
+
+
+class _Flow:
+    def __init__(self, start: int, expected: int) -> None:
+        self.next_sequence = start + 1
+        self.expected = expected
+        self.is_open = False
+        self.answer: EndPacket | None = None
+
+
+class PlatformTarget:
+    """One start of a target.
+
+    Args:
+        name: Identity.
+        service: Service that it runs.
+        host: Address of its VM.
+        ports: Ports ``app``, ``outbound`` and ``control`` of every VM.
+        observer: Told of what happens here.
+        random: Source of sequence numbers and work times.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        service: str,
+        host: str,
+        ports: dict[str, int],
+        observer: TargetObserver,
+        random: Random,
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.host = host
+        #: Monotonic time in s of the acknowledgement that it drains, if any.
+        self.drained_s: float | None = None
+        self.flows: dict[tuple[str, int], _Flow] = {}
+        self._ports = ports
+        self._observer = observer
+        self._random = random
+        self._born_ms = int(time.time() * 1000)
+        self._sequence = 0
+        self._is_draining = False
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.bind((host, ports['app']))
+        self._tasks = [
+            gevent.spawn(self._receive),
+            gevent.spawn(self._beat_forever),
+        ]
+
+    def holds(self, client: tuple[str, int]) -> bool:
+        """Whether the target holds the open flow of a client's end."""
+        flow = self.flows.get(client)
+        return flow is not None and flow.is_open
+
+    def drain(self) -> None:
+        """Announces that the target is about to stop."""
+        self._is_draining = True
+        gevent.spawn(self._beat)
+
+    def stop(self) -> None:
+        """Ends at once and forgets every flow."""
+        gevent.killall(self._tasks)
+        self._socket.close()
+        self.flows.clear()
+
+    def _receive(self) -> None:
+        while True:
+            content, _ = self._socket.recvfrom(2048)
+            try:
+                packet, is_intact = read_packet(content)
+            except struct.error:
+                is_intact = False
+            if is_intact:
+                self._handle(packet, content)
+            else:
+                self._observer.on_altered(self.name)
+
+    def _handle(self, packet: EndPacket, content: bytes) -> None:
+        flow = self.flows.get(packet.source)
+        if packet.flags & SYN:
+            self._open(packet)
+        elif flow is None or not self._matches(flow, packet):
+            bounced = bytes((content[0] | BOUNCED,)) + content[1:]
+            self._send(bounced)
+        elif packet.flags & (FIN | RESET):
+            self.flows.pop(packet.source)
+            self._reply(packet, FIN | ACK, flow.next_sequence)
+        else:
+            self._take(packet, flow)
+
+    def _matches(self, flow: _Flow, packet: EndPacket) -> bool:
+        if not flow.is_open:
+            flow.is_open = packet.acknowledged == flow.next_sequence
+        return flow.is_open
+
+    def _open(self, packet: EndPacket) -> None:
+        self._observer.on_opening(self)
+        flow = self.flows.get(packet.source)
+        if flow is None:
+            start = self._random.getrandbits(30)
+            flow = _Flow(start, packet.sequence + 1)
+            self.flows[packet.source] = flow
+        self._reply(packet, SYN | ACK, flow.next_sequence - 1)
+
+    def _take(self, packet: EndPacket, flow: _Flow) -> None:
+        answer = flow.answer
+        if answer is not None:
+            end = answer.sequence + len(answer.body)
+            if packet.acknowledged >= end:
+                flow.answer = None
+            elif packet.body:
+                self._send(answer.encode())
+        if not packet.body or packet.sequence != flow.expected:
+            return
+        flow.expected += len(packet.body)
+        gevent.spawn(self._work, packet, flow)
+
+    def _work(self, packet: EndPacket, flow: _Flow) -> None:
+        found = _REQUEST_ID.search(packet.body)
+        request = found.group(1).decode() if found else ''
+        self._observer.on_run(request, self.service, self.name)
+        gevent.sleep(self._random.uniform(0.005, 0.04))
+        text = f'{self.service}:{request}:{"x" * self._random.randint(0, 800)}'
+        head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(text)}\r\n\r\n'
+        body = f'{head}{text}'.encode()
+        answer = EndPacket(
+            source=packet.destination,
+            destination=packet.source,
+            flags=ACK,
+            sequence=flow.next_sequence,
+            acknowledged=flow.expected,
+            body=body,
+        )
+        flow.next_sequence += len(body)
+        flow.answer = answer
+        for _ in range(_RETRANSMISSIONS):
+            if flow.answer is not answer:
+                return
+            self._send(answer.encode())
+            gevent.sleep(_RETRANSMIT_S)
+
+    def _reply(self, packet: EndPacket, flags: int, sequence: int) -> None:
+        reply = EndPacket(
+            source=packet.destination,
+            destination=packet.source,
+            flags=flags,
+            sequence=sequence,
+            acknowledged=packet.sequence + 1,
+        )
+        self._send(reply.encode())
+
+    def _send(self, content: bytes) -> None:
+        if self._socket.fileno() >= 0:
+            outbound = (self.host, self._ports['outbound'])
+            self._socket.sendto(content, outbound)
+
+    def _beat_forever(self) -> None:
+        while True:
+            self._beat()
+            gevent.sleep(_BEAT_S)
+
+    def _beat(self) -> None:
+        self._sequence += 1
+        state = 'draining' if self._is_draining else 'ready'
+        body = {
+            'service': self.service,
+            'address': f'{self.host}:{self._ports["app"]}',
+            'zone': 'site-a',
+            'version': 'v1',
+            'capacity': 4,
+            'state': state,
+            'warmup_remaining_ms': 0,
+            'sequence': self._sequence,
+            'born': self._born_ms,
+        }
+        status = put_json(
+            self.host, self._ports['control'], f'/instances/{self.name}', body
+        )
+        if status == 200 and state == 'draining' and self.drained_s is None:
+            self.drained_s = time.monotonic()
+
+
+class _Connection(HTTPConnection):
+    def connect(self) -> None:
+        self.sock = socket.create_connection(
+            (self.host, self.port), self.timeout
+        )
+
+
+def put_json(host: str, port: int, path: str, body: object) -> int:
+    """Sends a JSON body; returns the status, 0 if there was no answer."""
+    connection = _Connection(host, port, timeout=_BEAT_TIMEOUT_S)
+    try:
+        connection.request('PUT', path, msgspec.json.encode(body))
+        return connection.getresponse().status
+    except (OSError, ValueError):
+        return 0
+    finally:
+        connection.close()
+
+
+def get_status(host: str, port: int, path: str) -> int:
+    """Sends a GET; returns the status, 0 if there was no answer."""
+    connection = _Connection(host, port, timeout=0.4)
+    try:
+        connection.request('GET', path)
+        return connection.getresponse().status
+    except (OSError, ValueError):
+        return 0
+    finally:
+        connection.close()
--- a/tests/platform/test_packet_codec.py
+++ b/tests/platform/test_packet_codec.py
@@ -63,7 +63,7 @@
         b'',
         b'\x10',
         _SYN[:-1],
-        _SYN + b'x',
+        b''.join((_SYN, b'x')),
         _with_length(5, b''),
         _with_length(1201, bytes(1201)),
     ],
--- /dev/null
+++ b/tests/soak/mutant.py
@@ -0,0 +1,98 @@
+"""Starts a process with a fault put in on purpose.
+
+The soak must notice each of them; see test_mutants.py.
+"""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[2] / 'platform'))
+
+import main
+from packet_codec import PacketCodec
+
+from anvilthread.flows.flow_agent import FlowAgent
+from anvilthread.flows.flow_balancer import FlowBalancer
+from anvilthread.flows.holder_search import HolderSearch
+from anvilthread.flows.roster import Roster
+from anvilthread.flows.route_holder import RouteHolder
+from anvilthread.flows.target_watch import TargetWatch
+
+
+def ignore_draining() -> None:
+    """Places new flows on a draining target."""
+    TargetWatch.accepts = property(lambda self: True)
+    TargetWatch.is_draining = property(lambda self: False)
+
+
+def ignore_new_versions() -> None:
+    """Never takes over a configuration without the extra route."""
+    offer = RouteHolder.offer
+
+    def keep(self, table, source):
+        if len(table) < len(self.table):
+            return False
+        return offer(self, table, source)
+
+    RouteHolder.offer = keep
+
+
+def mix_services() -> None:
+    """Places flows on the agents of any service."""
+
+    def agents(self, service):
+        return [it for it in self.nodes if it.record.service]
+
+    Roster.agents = agents
+    FlowAgent._refusal = lambda self, packet, message: ''  # noqa: SLF001
+    on_forward = FlowAgent.on_forward
+
+    def forward(self, host, message):
+        self._service = message.service  # noqa: SLF001
+        on_forward(self, host, message)
+
+    FlowAgent.on_forward = forward
+
+
+def reset_moved_flows() -> None:
+    """Takes a flow for lost when its balancer does not know it."""
+
+    def find(self, packet):
+        self._reset(packet.key, packet.acknowledged, 'mutant')  # noqa: SLF001
+
+    FlowBalancer._find = find  # noqa: SLF001
+
+
+def alter_packets() -> None:
+    """Forwards packets with another acknowledgement number."""
+    from_client = PacketCodec.from_client
+
+    def alter(self, content):
+        if len(content) > 40:
+            content = b''.join((content[:-1], b'?'))
+        return from_client(self, content)
+
+    PacketCodec.from_client = alter
+
+
+def serve_nobody() -> None:
+    """Never finds an agent."""
+    HolderSearch.start = lambda *_args, **_named: None
+    FlowBalancer._place = lambda self, flow: False  # noqa: SLF001
+
+
+MUTANTS = {
+    mutant.__name__: mutant
+    for mutant in (
+        ignore_draining,
+        ignore_new_versions,
+        mix_services,
+        reset_moved_flows,
+        alter_packets,
+        serve_nobody,
+    )
+}
+
+if __name__ == '__main__':
+    MUTANTS[sys.argv[1]]()
+    sys.exit(main.main())
