Hold granted slots back for 100 ms after the target broke a connection

The slot of the broken run went to a waiting request, whose new connection the dying target's backlog still accepted; its outcome was unknown instead of run elsewhere. Ruled out: a late answer, a repeated run (the target started it never). Change: after a lost answer, a granted request waits 100 ms before it is sent. Test: test_broken_connection_holds_waiting_requests_back failed before.

--- a/anvilthread/admission/admission.py
+++ b/anvilthread/admission/admission.py
@@ -119,6 +119,20 @@
         )
         gevent.spawn(self._scheduler.grant_after, pause_ms)
 
+    def doubt(self) -> None:
+        """Holds granted slots back, after the target broke a connection.
+
+        A target that dies may still accept a connection before its sockets
+        are gone, and whether a request on it ran would be unknown.
+        """
+        self._state.doubt(self._clock.now_ms() + self._limits.doubt_ms)
+
+    def await_certainty(self) -> None:
+        """Waits until a target that broke a connection is up or gone."""
+        left_ms = self._state.doubted_until_ms - self._clock.now_ms()
+        if left_ms > 0:
+            self._clock.sleep_ms(left_ms)
+
     def confirm(self) -> None:
         """Notes that the target has answered a request."""
         if not self._state.proven:
--- a/anvilthread/admission/limits.py
+++ b/anvilthread/admission/limits.py
@@ -17,6 +17,8 @@
         shed_ratio: Share of the time to the deadline that a request may be
             expected to wait; the rest covers the spread of run times.
         pause_ms: Time without new work after the target refuses connections.
+        doubt_ms: Time without a start after the target broke a connection;
+            the sockets of a process that ends are gone within some ms.
         stop_ms: Time that a stop leaves to running requests.
     """
 
@@ -28,4 +30,5 @@
     attempts: int = 3
     shed_ratio: float = 0.5
     pause_ms: int = 500
+    doubt_ms: int = 100
     stop_ms: int = 30_000
--- a/anvilthread/admission/local_place.py
+++ b/anvilthread/admission/local_place.py
@@ -50,6 +50,7 @@
 
     def run(self, request: Request, answer: SingleAnswer) -> Outcome:
         """Runs the request unless it expired while the process was frozen."""
+        self._admission.await_certainty()
         if request.deadline_ms <= self._clock.now_ms():
             self._slot.release()
             return refusals.deadline_passed()
@@ -60,5 +61,7 @@
     def _note(self, outcome: Outcome) -> None:
         if outcome.reason is Reason.TARGET_UNAVAILABLE:
             self._admission.pause()
+        if outcome.reason is Reason.ANSWER_LOST:
+            self._admission.doubt()
         if outcome.kind is OutcomeKind.ANSWERED:
             self._admission.confirm()
--- a/anvilthread/admission/target_state.py
+++ b/anvilthread/admission/target_state.py
@@ -7,9 +7,15 @@
 class TargetState:
     """What is known about one target's readiness."""
 
-    __slots__ = ('_draining', '_paused_until_ms', '_proven')
+    __slots__ = (
+        '_doubted_until_ms',
+        '_draining',
+        '_paused_until_ms',
+        '_proven',
+    )
 
     def __init__(self) -> None:
+        self._doubted_until_ms = 0
         self._draining = False
         self._paused_until_ms: int | None = None
         self._proven = True
@@ -24,6 +30,11 @@
         """Whether the target has answered since it last refused."""
         return self._proven
 
+    @property
+    def doubted_until_ms(self) -> int:
+        """Time until which a granted slot is to be held back."""
+        return self._doubted_until_ms
+
     def paused(self, now_ms: int) -> bool:
         """Whether the target has refused connections a short time ago."""
         return (
@@ -51,6 +62,10 @@
         self._paused_until_ms = until_ms
         self._proven = False
 
+    def doubt(self, until_ms: int) -> None:
+        """Notes that the target has broken a connection."""
+        self._doubted_until_ms = until_ms
+
     def confirm(self) -> None:
         """Notes that the target has answered."""
         self._paused_until_ms = None
--- a/tests/admission/test_admission.py
+++ b/tests/admission/test_admission.py
@@ -231,6 +231,18 @@
     assert sorted(agent.started()) == ['probe0', 'probe1', 'probe2']
 
 
+def test_broken_connection_holds_waiting_requests_back() -> None:
+    """Guards against a waiting request that is sent to a dying target."""
+    agent = Agent(slots=1, doubt_ms=100)
+    agent.send('first', query='&ms=50&fault=lost')
+    agent.send('waiting', query='&ms=50')
+    agent.clock.advance(60)
+    assert agent.outcomes['first'].reason is Reason.ANSWER_LOST
+    assert agent.started() == ['first']
+    agent.clock.advance(200)
+    assert agent.outcomes['waiting'].kind is OutcomeKind.ANSWERED
+
+
 def test_expired_offer_gets_no_slot() -> None:
     """Guards against a slot held for a request that has expired."""
     agent = Agent(slots=1)
