--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -1,6 +1,7 @@
 """The real programs as processes on loopback addresses."""
 
 import os
+import shutil
 import signal
 import subprocess
 import sys
@@ -53,6 +54,7 @@
         agents: int = 3,
         program: tuple[str, ...] = (),
     ) -> None:
+        self._seed = seed
         self.random = Random(seed)
         self._program = program or (
             sys.executable,
@@ -69,7 +71,7 @@
         self.services: dict[str, str] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self._version = 0
-        self.ledger = Ledger(holder=self._holder)
+        self.ledger = Ledger(holder=self._holder, lasting=ROUTES)
         self._folder = tempfile.TemporaryDirectory(prefix='anvilthread-soak-')
         self._starts = 0
         self._agent_count = agents
@@ -114,6 +116,8 @@
         for target in self.targets.values():
             target.stop()
         self.store.stop()
+        if self.ledger.violations:
+            self._keep_logs()
         self._folder.cleanup()
 
     def configure(self, extra: tuple[int, ...]) -> None:
@@ -199,6 +203,11 @@
         path = Path(self._folder.name) / f'{host}.log'
         return path.read_text() if path.exists() else ''
 
+    def _keep_logs(self) -> None:
+        """Copies the logs of a run with violations under run/."""
+        kept = ROOT / 'run' / f'soak-{self._seed}'
+        shutil.copytree(self._folder.name, kept, dirs_exist_ok=True)
+
     def _holder(self, end: tuple[str, int]) -> PlatformTarget | None:
         for target in self.targets.values():
             if target.holds(end):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 import gevent
+from gevent.pool import Group
 
 from soak.cluster import EXTRA_PORT, SoakCluster
 
@@ -24,6 +25,7 @@
     def __init__(self, *, cluster: SoakCluster) -> None:
         self._cluster = cluster
         self._random = cluster.random
+        self._tasks = Group()
         self.injected: Counter[str] = Counter()
         self.planned = (
             self.restart_balancer,
@@ -56,8 +58,10 @@
         while time.monotonic() < deadline_s:
             fault = self._random.choice(kinds)
             self.injected[fault.__name__] += 1
-            gevent.spawn(self._inject, fault)
+            self._tasks.spawn(self._inject, fault)
             gevent.sleep(self._random.uniform(0.1, 1.2))
+        # What a fault has stopped it also starts again.
+        self._tasks.join()
 
     def restart_balancer(self) -> None:
         """Stops a balancer by SIGTERM and starts it again."""
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -3,7 +3,7 @@
 import re
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from typing import Final
 
 from standins.platform_client import ClientFlow
@@ -42,12 +42,18 @@
 
     Args:
         holder: Finds the target that holds the flow of a client's end.
+        lasting: Ports of the routes that are never removed; a flow whose
+            route is removed may be reset.
     """
 
     def __init__(
-        self, *, holder: Callable[[tuple[str, int]], PlatformTarget | None]
+        self,
+        *,
+        holder: Callable[[tuple[str, int]], PlatformTarget | None],
+        lasting: Container[int],
     ) -> None:
         self._holder = holder
+        self._lasting = lasting
         self._asked: dict[str, str] = {}
         self._runs: Counter[str] = Counter()
         self.checked: Counter[str] = Counter()
@@ -106,7 +112,7 @@
         self.checked['live_flow_is_not_reset'] += 1
         is_calm = time.monotonic() - self.disturbed_until_s > _CONTACT_S
         holder = self._holder(flow.end)
-        if is_calm and holder and flow.service_end[1] not in self.removed_s:
+        if is_calm and holder and flow.service_end[1] in self._lasting:
             detail = f'{flow.end} held by {holder.name}'
             self.violate('live_flow_is_not_reset', detail)
 
