--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -30,6 +30,9 @@
 SERVICE_HOST: Final = '198.18.0.1'
 
 _HEARTBEAT_MS: Final = 300
+
+#: Networks of loopback, 127.1.0.0/16 and on, to choose from.
+_NETWORKS: Final = 250
 _PORT_NAMES: Final = ('data', 'ready', 'control', 'app', 'outbound')
 
 
@@ -62,7 +65,8 @@
         )
         self.ports = {name: free_port() for name in _PORT_NAMES}
         self._node_port = free_port()
-        self._network = f'127.{self.random.randint(1, 250)}'
+        # Two soaks at the same time must not meet at an address.
+        self._network = f'127.{1 + os.getpid() % _NETWORKS}'
         self.store = MetadataServer(
             endpoint=('127.0.0.1', free_port()), seed=seed
         )
