--- /dev/null
+++ b/tests/flows/test_configuration_follower.py
@@ -0,0 +1,158 @@
+"""How a node follows the configuration, in virtual time."""
+
+from random import Random
+
+import gevent
+import pytest
+from result import Err, Ok, Result
+
+from anvilthread.clock import ManualClock
+from anvilthread.flows.configuration_follower import ConfigurationFollower
+from anvilthread.flows.introducer import Introducer
+from anvilthread.flows.messages import AnyMessage
+from anvilthread.flows.node_messages import Hello
+from anvilthread.flows.node_record import NodeRecord, NodeRole
+from anvilthread.flows.roster import Roster
+from anvilthread.flows.route_holder import RouteHolder
+from anvilthread.flows.route_table import RouteTable
+from anvilthread.store import StoreError, StoreUnavailable
+from anvilthread.telemetry.memory_log import MemoryLog
+from standins.flow_cluster import SERVICE, route_table
+
+_PEER = NodeRecord('10.0.0.9', NodeRole.AGENT, 'site-a', SERVICE, 1)
+
+
+class _Source:
+    """A store and peers with a version each."""
+
+    def __init__(self) -> None:
+        self.version = 1
+        self.is_up = True
+        self.peer_version = 0
+        self.reads = 0
+
+    def read(self) -> Result[RouteTable, StoreError]:
+        self.reads += 1
+        if not self.is_up:
+            return Err(StoreUnavailable(reason='down'))
+        return Ok(route_table(self.version, {80: SERVICE}))
+
+    def read_from(self, _host: str) -> Result[RouteTable, StoreError]:
+        if not self.peer_version:
+            return Err(StoreUnavailable(reason='gone'))
+        return Ok(route_table(self.peer_version, {80: SERVICE}))
+
+
+class _Network:
+    def __init__(self) -> None:
+        self.sent: list[AnyMessage] = []
+
+    def send_node(self, _host: str, message: AnyMessage) -> None:
+        self.sent.append(message)
+
+
+class _Node:
+    """A follower with its tasks."""
+
+    def __init__(self, role: NodeRole = NodeRole.AGENT) -> None:
+        self.clock = ManualClock(start_ms=1000)
+        self.source = _Source()
+        self.network = _Network()
+        self.log = MemoryLog()
+        own = NodeRecord('10.0.0.1', role, 'site-a', SERVICE, 1)
+        roster = Roster(clock=self.clock, own=own, log=self.log)
+        roster.hear(_PEER)
+        self.routes = RouteHolder(clock=self.clock, log=self.log)
+        parts = {'clock': self.clock, 'random': Random(1), 'roster': roster}
+        introducer = Introducer(
+            network=self.network,  # type: ignore[arg-type]
+            routes=self.routes,
+            **parts,  # type: ignore[arg-type]
+        )
+        self.follower = ConfigurationFollower(
+            source=self.source,
+            routes=self.routes,
+            introducer=introducer,
+            log=self.log,
+            **parts,  # type: ignore[arg-type]
+        )
+        self.tasks = [
+            gevent.spawn(self.follower.follow_store),
+            gevent.spawn(self.follower.follow_peers),
+        ]
+
+    def advance(self, duration_ms: int) -> None:
+        for _ in range(duration_ms // 10):
+            self.clock.advance(10)
+
+
+@pytest.fixture
+def node() -> _Node:
+    """An agent's follower."""
+    return _Node()
+
+
+def test_change_is_in_force_in_time(node: _Node) -> None:
+    """Guards against a watch that hears nothing while changes are made."""
+    node.advance(2000)
+    node.source.version = 5
+    node.advance(2000)
+    assert node.routes.table.version == 5
+    told = [it.version for it in node.network.sent if isinstance(it, Hello)]
+    assert told[-1] == 5
+
+
+def test_told_nodes_do_not_read(node: _Node) -> None:
+    """Guards against calls that grow with the number of nodes."""
+    node.advance(500)
+    before = node.source.reads
+    for _ in range(50):
+        node.follower.on_version('10.0.0.9', 1, 50)
+        node.advance(100)
+    assert node.source.reads == before
+
+
+def test_silent_store_leaves_the_peers(node: _Node) -> None:
+    """Guards against a node that learns nothing while the store is down."""
+    node.source.is_up = False
+    node.source.peer_version = 7
+    node.advance(100)
+    node.follower.on_version('10.0.0.9', 7, 10)
+    node.advance(50)
+    assert node.routes.table.version == 7
+    names = [entry.name for entry in node.log.entries]
+    assert names.count('store_lost') == 1
+    node.source.is_up = True
+    node.source.version = 7
+    node.advance(2500)
+    assert 'store_regained' in [entry.name for entry in node.log.entries]
+
+
+def test_older_answer_of_the_store_changes_nothing(node: _Node) -> None:
+    """Guards against a reverted configuration after stale reads."""
+    node.source.version = 9
+    node.advance(100)
+    node.source.version = 3
+    node.advance(3000)
+    assert node.routes.table.version == 9
+
+
+def test_peer_that_dies_is_asked_no_more(node: _Node) -> None:
+    """Guards against a node stuck on a peer that told of a new version."""
+    node.advance(100)
+    node.follower.on_version('10.0.0.9', 4, 0)
+    node.advance(20)
+    assert node.routes.table.version == 1
+    node.source.peer_version = 4
+    node.follower.on_version('10.0.0.8', 4, 0)
+    node.advance(20)
+    assert node.routes.table.version == 4
+
+
+def test_balancer_asks_peers_first() -> None:
+    """Guards against an HTTP library loaded before the first packets."""
+    node = _Node(NodeRole.BALANCER)
+    node.advance(500)
+    assert node.source.reads == 0
+    node.advance(500)
+    assert node.source.reads > 0
--- /dev/null
+++ b/tests/flows/test_discovery.py
@@ -0,0 +1,131 @@
+"""How nodes find each other, in virtual time."""
+
+from random import Random
+
+import gevent
+import pytest
+from result import Err, Ok, Result
+
+from anvilthread.clock import ManualClock
+from anvilthread.error import AnvilthreadError
+from anvilthread.flows.directory_user import DirectoryUser
+from anvilthread.flows.introducer import Introducer
+from anvilthread.flows.messages import AnyMessage
+from anvilthread.flows.node_record import NodeRecord, NodeRole
+from anvilthread.flows.roster import Roster
+from anvilthread.flows.route_holder import RouteHolder
+from anvilthread.store import StoreUnavailable
+from anvilthread.telemetry.memory_log import MemoryLog
+from standins.flow_cluster import SERVICE, FlowCluster, flow_key
+
+
+@pytest.mark.parametrize(('balancers', 'agents'), [(2, 5), (6, 10), (9, 25)])
+def test_all_nodes_meet(balancers: int, agents: int) -> None:
+    """Guards against nodes that stay unknown after a common start."""
+    cluster = FlowCluster(balancers=balancers, agents=agents)
+    for node in cluster.balancers:
+        assert len(node.roster.agents(SERVICE)) == agents
+    for node in cluster.agents:
+        assert len(node.roster.balancers()) == balancers
+
+
+def test_restarted_balancer_serves_within_half_a_second() -> None:
+    """Guards against a balancer that waits for periodic messages."""
+    cluster = FlowCluster(balancers=3, agents=5)
+    node = cluster.add_balancer(2)
+    cluster.open(flow_key(1), node)
+    cluster.advance(300)
+    assert cluster.holder(flow_key(1)) is not None
+
+
+def test_forgotten_node_is_not_told_again() -> None:
+    """Guards against dead nodes that peers keep alive by hearsay."""
+    cluster = FlowCluster(balancers=2, agents=3)
+    gone = cluster.agents[0]
+    gone.is_up = False
+    cluster.advance(65_000)
+    for node in (*cluster.balancers, *cluster.agents):
+        assert node.roster.get(gone.record.host) is None
+
+
+class _Directory:
+    def __init__(self) -> None:
+        self.listed: list[str] = []
+        self.reads = 0
+        self.is_up = True
+
+    def register(self, host: str) -> Result[None, AnvilthreadError]:
+        if not self.is_up:
+            return Err(StoreUnavailable(reason='down'))
+        self.listed.append(host)
+        return Ok(None)
+
+    def hosts(self) -> Result[list[str], AnvilthreadError]:
+        self.reads += 1
+        if not self.is_up:
+            return Err(StoreUnavailable(reason='down'))
+        return Ok(list(self.listed))
+
+
+class _Network:
+    def __init__(self) -> None:
+        self.hosts: list[str] = []
+
+    def send_node(self, host: str, _message: AnyMessage) -> None:
+        self.hosts.append(host)
+
+
+def _user(
+    directory: _Directory, network: _Network
+) -> tuple[DirectoryUser, Roster, ManualClock]:
+    clock = ManualClock(start_ms=1000)
+    log = MemoryLog()
+    own = NodeRecord('10.0.0.1', NodeRole.BALANCER, 'site-a', '', 1)
+    roster = Roster(clock=clock, own=own, log=log)
+    introducer = Introducer(
+        clock=clock,
+        random=Random(1),
+        network=network,  # type: ignore[arg-type]
+        roster=roster,
+        routes=RouteHolder(clock=clock, log=log),
+    )
+    user = DirectoryUser(
+        clock=clock,
+        random=Random(1),
+        directory=directory,
+        roster=roster,
+        introducer=introducer,
+        log=log,
+    )
+    return user, roster, clock
+
+
+def test_lonely_balancer_reads_the_list_until_an_agent_answers() -> None:
+    """Guards against a new VM whose contacts are all gone."""
+    directory, network = _Directory(), _Network()
+    directory.listed = ['10.0.0.7']
+    user, roster, clock = _user(directory, network)
+    task = gevent.spawn(user.find)
+    clock.advance(1200)
+    assert directory.reads >= 2
+    assert '10.0.0.7' in network.hosts
+    # Another balancer is no help: it has no target.
+    roster.hear(NodeRecord('10.0.0.8', NodeRole.BALANCER, 's', '', 1))
+    clock.advance(1000)
+    assert not task.ready()
+    roster.hear(NodeRecord('10.0.0.7', NodeRole.AGENT, 's', SERVICE, 1))
+    clock.advance(1000)
+    assert task.ready()
+
+
+def test_registration_outlasts_an_outage() -> None:
+    """Guards against a node that is never listed after a store outage."""
+    directory = _Directory()
+    directory.is_up = False
+    user, _, clock = _user(directory, _Network())
+    task = gevent.spawn(user.register)
+    clock.advance(10_000)
+    directory.is_up = True
+    clock.advance(10_000)
+    assert task.ready()
+    assert directory.listed == ['10.0.0.1']
--- /dev/null
+++ b/tests/flows/test_load_patterns.py
@@ -0,0 +1,145 @@
+"""Where new flows go under the load patterns of the heaviest days."""
+
+from random import Random
+from statistics import mean
+
+import pytest
+
+from anvilthread.clock import ManualClock
+from anvilthread.flows.flow_placement import FlowPlacement
+from anvilthread.flows.node_messages import LoadReport
+from anvilthread.flows.node_record import NodeRecord, NodeRole
+from anvilthread.flows.report_period import balancer_period_ms
+from anvilthread.flows.roster import Roster
+from anvilthread.telemetry.memory_log import MemoryLog
+
+_SERVICE = 'bookings'
+_PERIOD_MS = 100
+
+
+class _Fleet:
+    """Agents whose load is what the balancers have sent them."""
+
+    def __init__(self, *, agents: int, balancers: int, slots: int) -> None:
+        self.clock = ManualClock(start_ms=1000)
+        self.slots = slots
+        self.working = {f'10.0.1.{it}': 0 for it in range(agents)}
+        self.cold: set[str] = set()
+        self.silent: set[str] = set()
+        self._sequence = 0
+        self._placements = []
+        self._rosters = []
+        for number in range(balancers):
+            own = NodeRecord(
+                f'10.0.0.{number}', NodeRole.BALANCER, 'site-a', '', 1
+            )
+            roster = Roster(clock=self.clock, own=own, log=MemoryLog())
+            self._rosters.append(roster)
+            self._placements.append(
+                FlowPlacement(
+                    clock=self.clock, random=Random(number), roster=roster
+                )
+            )
+
+    def report(self) -> None:
+        """Has every agent report to every balancer."""
+        self._sequence += 1
+        for host, working in self.working.items():
+            if host in self.silent:
+                continue
+            report = LoadReport(
+                node=NodeRecord(host, NodeRole.AGENT, 'site-a', _SERVICE, 1),
+                sequence=self._sequence,
+                accepts=True,
+                working=working,
+                busy=working,
+                flows=0,
+                period_ms=_PERIOD_MS,
+                slots=self.slots,
+                cold_ms=1000 if host in self.cold else 0,
+                version=1,
+                checked_ms=0,
+            )
+            for roster in self._rosters:
+                roster.take_report(report)
+
+    def place(self, count: int) -> None:
+        """Places flows through all balancers in turn, between reports."""
+        for number in range(count):
+            placement = self._placements[number % len(self._placements)]
+            chosen = placement.choose(_SERVICE, ())
+            assert chosen is not None
+            self.working[chosen.host] += 1
+
+
+@pytest.mark.parametrize(
+    ('agents', 'balancers', 'slots'), [(7, 6, 2), (7, 9, 1), (45, 22, 1)]
+)
+def test_burst_after_a_common_start(
+    agents: int, balancers: int, slots: int
+) -> None:
+    """Guards against a target that gets the burst of all balancers.
+
+    Pattern: all clients open their flows again within one report period, and
+    every balancer knows the same loads.
+    """
+    fleet = _Fleet(agents=agents, balancers=balancers, slots=slots)
+    fleet.report()
+    for _ in range(5):
+        fleet.place(agents * 4)
+        fleet.clock.advance(_PERIOD_MS)
+        fleet.report()
+    # Least loaded by the same reports would give one target everything;
+    # random choice about 1.6 times the mean.
+    assert max(fleet.working.values()) <= 1.4 * mean(fleet.working.values())
+
+
+def test_busy_target_is_spared() -> None:
+    """Guards against equal shares while one target is slow.
+
+    Pattern: one target works five times slower, so its requests pile up.
+    """
+    fleet = _Fleet(agents=7, balancers=6, slots=2)
+    fleet.working['10.0.1.0'] = 12
+    fleet.report()
+    fleet.place(14)
+    assert fleet.working['10.0.1.0'] == 12
+
+
+def test_cold_target_gets_less() -> None:
+    """Guards against a full share for a target in its slow start.
+
+    Pattern: a release starts new targets among warm, lightly loaded ones.
+    """
+    fleet = _Fleet(agents=7, balancers=6, slots=2)
+    fleet.cold = {'10.0.1.0'}
+    fleet.report()
+    fleet.place(70)
+    warm = [load for host, load in fleet.working.items() if host[-1] != '0']
+    assert fleet.working['10.0.1.0'] < mean(warm)
+
+
+def test_silent_agent_is_passed_over() -> None:
+    """Guards against flows for an agent whose reports have stopped.
+
+    Pattern: a VM dies; its last report shows it idle.
+    """
+    fleet = _Fleet(agents=4, balancers=2, slots=2)
+    fleet.report()
+    fleet.silent = {'10.0.1.0'}
+    for host in list(fleet.working)[1:]:
+        fleet.working[host] = 5
+    for _ in range(6):
+        fleet.clock.advance(_PERIOD_MS)
+        fleet.report()
+    fleet.place(10)
+    assert fleet.working['10.0.1.0'] == 0
+
+
+@pytest.mark.parametrize(('agents', 'per_second'), [(10, 100), (1000, 250)])
+def test_reports_do_not_swamp_a_balancer(agents: int, per_second: int) -> None:
+    """Guards against reports that take the processor of thin balancers.
+
+    Pattern: a large fleet before balancers with a sixth of a core.
+    """
+    assert agents * 1000 / balancer_period_ms(agents) <= per_second
