Use one type for faults of files, and look up message handlers in one place

SettingsFault and Problem were the same value type. The balancer's and the agent's dispatch of messages stood twice. Datagrams are sent through a second socket object in place of a private attribute of gevent's.

--- a/anvilthread/configuration/invalid_configuration.py
+++ b/anvilthread/configuration/invalid_configuration.py
@@ -1,7 +1,7 @@
 """Every error that was found in a configuration."""
 
-from anvilthread.configuration.problem import Problem
 from anvilthread.error import AnvilthreadError
+from anvilthread.file_fault import FileFault
 
 
 class InvalidConfigurationError(AnvilthreadError):
@@ -11,7 +11,7 @@
         problems: The errors, in the order of the files and keys.
     """
 
-    def __init__(self, *, problems: tuple[Problem, ...]) -> None:
+    def __init__(self, *, problems: tuple[FileFault, ...]) -> None:
         number = len(problems)
         noun = 'error' if number == 1 else 'errors'
         super().__init__(
@@ -21,7 +21,7 @@
         self._problems = problems
 
     @property
-    def problems(self) -> tuple[Problem, ...]:
+    def problems(self) -> tuple[FileFault, ...]:
         """The errors."""
         return self._problems
 
--- a/anvilthread/configuration/loader.py
+++ b/anvilthread/configuration/loader.py
@@ -12,13 +12,13 @@
     InvalidConfigurationError,
 )
 from anvilthread.configuration.overlay import check_overlay, merge
-from anvilthread.configuration.problem import Problem
 from anvilthread.configuration.table_checker import (
     TableChecker,
     decode_address,
 )
 from anvilthread.configuration.texts import BASE_FILE, ConfigurationTexts
 from anvilthread.configuration.uniqueness import check_services
+from anvilthread.file_fault import FileFault
 
 #: The base and the overlays of a change or two. Most changes leave most files
 #: as they were, and reading the base is the largest part of a change.
@@ -68,9 +68,9 @@
 def _load_site(
     texts: ConfigurationTexts,
     base: Tables,
-    base_problems: tuple[Problem, ...],
+    base_problems: tuple[FileFault, ...],
     site: str,
-) -> Result[Configuration, tuple[Problem, ...]]:
+) -> Result[Configuration, tuple[FileFault, ...]]:
     file = f'{site}.toml'
     text = texts.overlays.get(site, '')
     overlay, problems = _read_file(file, text, partial=True)
@@ -95,7 +95,7 @@
 @lru_cache(maxsize=_KEPT_FILES)
 def _read_file(
     file: str, text: str, *, partial: bool
-) -> tuple[Tables, tuple[Problem, ...]]:
+) -> tuple[Tables, tuple[FileFault, ...]]:
     try:
         tables = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
@@ -105,13 +105,13 @@
     return tables, checker.problems
 
 
-def _distinct(problems: list[Problem]) -> tuple[Problem, ...]:
+def _distinct(problems: list[FileFault]) -> tuple[FileFault, ...]:
     """Drops the errors of the base that several sites repeat."""
     return tuple({str(problem): problem for problem in problems}.values())
 
 
-def _syntax_error(file: str, reason: str) -> Problem:
-    return Problem(
+def _syntax_error(file: str, reason: str) -> FileFault:
+    return FileFault(
         file=file,
         key='',
         reason=f'the file is not TOML: {reason}',
@@ -119,8 +119,8 @@
     )
 
 
-def _unknown_overlay(file: str, site: str) -> Problem:
-    return Problem(
+def _unknown_overlay(file: str, site: str) -> FileFault:
+    return FileFault(
         file=file,
         key='',
         reason=f'there is no site {site}',
--- a/anvilthread/configuration/overlay.py
+++ b/anvilthread/configuration/overlay.py
@@ -2,7 +2,7 @@
 
 from typing import Any, Final
 
-from anvilthread.configuration.problem import Problem
+from anvilthread.file_fault import FileFault
 
 #: Keys of a service that have to be the same at every site: connection IDs
 #: carry the number, and every site has to know where a service is carried.
@@ -23,7 +23,7 @@
 
 def check_overlay(
     file: str, overlay: dict[str, Any], base: dict[str, Any]
-) -> tuple[Problem, ...]:
+) -> tuple[FileFault, ...]:
     """Finds what an overlay must not change.
 
     Args:
@@ -34,10 +34,10 @@
     Returns:
         The errors.
     """
-    problems: list[Problem] = []
+    problems: list[FileFault] = []
     if 'sites' in overlay:
         problems.append(
-            Problem(
+            FileFault(
                 file=file,
                 key='sites',
                 reason='an overlay cannot define sites',
@@ -52,8 +52,8 @@
     return tuple(problems)
 
 
-def _added(file: str, name: str) -> Problem:
-    return Problem(
+def _added(file: str, name: str) -> FileFault:
+    return FileFault(
         file=file,
         key=f'services.{name}',
         reason='the service is not in base.toml',
@@ -61,9 +61,9 @@
     )
 
 
-def _shared(file: str, name: str, service: dict[str, Any]) -> list[Problem]:
+def _shared(file: str, name: str, service: dict[str, Any]) -> list[FileFault]:
     return [
-        Problem(
+        FileFault(
             file=file,
             key=f'services.{name}.{key}',
             reason='the key has to be the same at every site',
--- a/anvilthread/configuration/table_checker.py
+++ b/anvilthread/configuration/table_checker.py
@@ -7,7 +7,7 @@
 from msgspec import Meta, Struct
 
 from anvilthread.address import Address
-from anvilthread.configuration.problem import Problem
+from anvilthread.file_fault import FileFault
 
 _DEFAULT_REMEDY: Final = 'write a text in quotes'
 
@@ -25,10 +25,10 @@
     def __init__(self, *, file: str, partial: bool) -> None:
         self._file = file
         self._partial = partial
-        self._problems: list[Problem] = []
+        self._problems: list[FileFault] = []
 
     @property
-    def problems(self) -> tuple[Problem, ...]:
+    def problems(self) -> tuple[FileFault, ...]:
         """The errors found so far."""
         return tuple(self._problems)
 
@@ -65,7 +65,7 @@
         try:
             msgspec.convert(value, kind, dec_hook=decode_address)
         except msgspec.ValidationError as error:
-            problem = Problem.from_validation(
+            problem = FileFault.from_validation(
                 error, file=self._file, key=path, remedy=_remedy(kind)
             )
             self._problems.append(problem)
@@ -86,7 +86,7 @@
     def _add(self, path: str, reason: str, remedy: str) -> None:
         key = path.rstrip('.')
         self._problems.append(
-            Problem(file=self._file, key=key, reason=reason, remedy=remedy)
+            FileFault(file=self._file, key=key, reason=reason, remedy=remedy)
         )
 
 
--- a/anvilthread/configuration/uniqueness.py
+++ b/anvilthread/configuration/uniqueness.py
@@ -3,10 +3,10 @@
 from typing import Any
 
 from anvilthread.configuration.configuration import Configuration
-from anvilthread.configuration.problem import Problem
+from anvilthread.file_fault import FileFault
 
 
-def check_services(file: str, checked: Configuration) -> tuple[Problem, ...]:
+def check_services(file: str, checked: Configuration) -> tuple[FileFault, ...]:
     """Finds shared numbers and addresses, and unknown sites.
 
     Args:
@@ -16,7 +16,7 @@
     Returns:
         The errors.
     """
-    problems: list[Problem] = []
+    problems: list[FileFault] = []
     owners: dict[Any, str] = {}
     for name, service in checked.services.items():
         key = f'services.{name}'
@@ -37,8 +37,8 @@
     return tuple(problems)
 
 
-def _taken(file: str, key: str, value: object, owner: str) -> Problem:
-    return Problem(
+def _taken(file: str, key: str, value: object, owner: str) -> FileFault:
+    return FileFault(
         file=file,
         key=key,
         reason=f'{value} belongs to services.{owner}',
@@ -46,8 +46,8 @@
     )
 
 
-def _unknown_site(file: str, key: str, site: str) -> Problem:
-    return Problem(
+def _unknown_site(file: str, key: str, site: str) -> FileFault:
+    return FileFault(
         file=file,
         key=key,
         reason=f'there is no site {site}',
--- a/anvilthread/settings/settings_fault.py
+++ b/anvilthread/file_fault.py
@@ -1,13 +1,18 @@
-"""One fault of a settings file."""
+"""One fault of a file that operators write."""
+
+from typing import TYPE_CHECKING, Self
 
 from anvilthread.error import AnvilthreadError
 
+if TYPE_CHECKING:
+    import msgspec
+
 
-class SettingsFault(AnvilthreadError):
+class FileFault(AnvilthreadError):
     """What is wrong with one key of a file, and what to do about it.
 
     Args:
-        file: Path of the file as the operator gave it.
+        file: Name of the file as the operator gave it.
         key: Dotted key, or an empty string for the file as a whole.
         reason: What is wrong, in one clause.
         remedy: What the operator can do about it, in one clause.
@@ -22,7 +27,7 @@
 
     @property
     def file(self) -> str:
-        """Path of the file."""
+        """Name of the file."""
         return self._file
 
     @property
@@ -35,5 +40,23 @@
         """The file and, if there is one, the key."""
         return f'{self._file}: {self._key}' if self._key else self._file
 
+    @classmethod
+    def from_validation(
+        cls,
+        error: 'msgspec.ValidationError',
+        *,
+        file: str,
+        key: str,
+        remedy: str,
+    ) -> Self:
+        """Rewrites an error of the validating library."""
+        text, _, path = str(error).partition(' - at `$')
+        return cls(
+            file=file,
+            key=f'{key}{path.rstrip("`")}',
+            reason=text.replace('`', ''),
+            remedy=remedy,
+        )
+
     def __str__(self) -> str:
         return f'{self.location}: {super().__str__()}'
--- a/anvilthread/flow_node/agent_process.py
+++ b/anvilthread/flow_node/agent_process.py
@@ -1,16 +1,14 @@
 """The agent of flows as a process."""
 
-from collections.abc import Callable
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Final
 
 import gevent
 
 from anvilthread.flow_node.flow_node_settings import FlowNodeSettings
-from anvilthread.flow_node.flow_process import FlowProcess
+from anvilthread.flow_node.flow_process import FlowProcess, MessageHandlers
 from anvilthread.flows.configuration_source import ConfigurationSource
 from anvilthread.flows.flow_agent import FlowAgent
 from anvilthread.flows.known_node import KnownNode
-from anvilthread.flows.messages import AnyMessage
 from anvilthread.flows.node_directory import NodeDirectory
 from anvilthread.flows.node_record import NodeRole
 from anvilthread.flows.packet_form import PacketForm
@@ -78,7 +76,7 @@
             log=process.log,
             counters=process.counters,
         )
-        self._handlers: dict[type, Callable[[str, Any], None]] = {
+        self._handlers: MessageHandlers = {
             Forward: self._agent.on_forward,
             Place: self._agent.on_place,
             Find: self._agent.on_find,
@@ -116,7 +114,7 @@
         self, source: ConfigurationSource, directory: NodeDirectory
     ) -> None:
         """Starts all tasks."""
-        self.process.start(source, directory, self._on_message)
+        self.process.start(source, directory, self._handlers)
         gevent.spawn(self.process.packets.serve, self._on_target_packet)
         self.process.roster.subscribe(self._report_to)
         self.process.every(_TICK_MS, self._agent.search.tick)
@@ -186,10 +184,3 @@
             self.process.counters.add('packets_malformed')
         else:
             self._agent.on_target_packet(packet)
-
-    def _on_message(self, host: str, message: AnyMessage) -> None:
-        handle = self._handlers.get(type(message))
-        if handle is None:
-            self.process.counters.add('messages_misdirected')
-        else:
-            handle(host, message)
--- a/anvilthread/flow_node/balancer_process.py
+++ b/anvilthread/flow_node/balancer_process.py
@@ -1,16 +1,14 @@
 """The balancer of flows as a process."""
 
-from collections.abc import Callable
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Final
 
 import gevent
 
 from anvilthread.flow_node.flow_node_settings import FlowNodeSettings
-from anvilthread.flow_node.flow_process import FlowProcess
+from anvilthread.flow_node.flow_process import FlowProcess, MessageHandlers
 from anvilthread.flows.configuration_source import ConfigurationSource
 from anvilthread.flows.flow_balancer import FlowBalancer
 from anvilthread.flows.flow_placement import FlowPlacement
-from anvilthread.flows.messages import AnyMessage
 from anvilthread.flows.node_directory import NodeDirectory
 from anvilthread.flows.packet_form import PacketForm
 from anvilthread.flows.packet_messages import Refused
@@ -59,7 +57,7 @@
             log=process.log,
             counters=process.counters,
         )
-        self._handlers: dict[type, Callable[[str, Any], None]] = {
+        self._handlers: MessageHandlers = {
             Held: self._balancer.on_held,
             NotHeld: self._balancer.on_not_held,
             Refused: self._balancer.on_refused,
@@ -85,7 +83,7 @@
         self, source: ConfigurationSource, directory: NodeDirectory
     ) -> None:
         """Starts all tasks."""
-        self.process.start(source, directory, self._on_message)
+        self.process.start(source, directory, self._handlers)
         gevent.spawn(self.process.packets.serve, self._on_packet)
         self.process.every(_TICK_MS, self._balancer.tick)
 
@@ -107,10 +105,3 @@
             self.process.counters.add('packets_malformed')
         else:
             self._balancer.on_packet(packet)
-
-    def _on_message(self, host: str, message: AnyMessage) -> None:
-        handle = self._handlers.get(type(message))
-        if handle is None:
-            self.process.counters.add('messages_misdirected')
-        else:
-            handle(host, message)
--- a/anvilthread/flow_node/datagram_port.py
+++ b/anvilthread/flow_node/datagram_port.py
@@ -29,7 +29,7 @@
         log: Receives faults of the handler.
     """
 
-    __slots__ = ('_log', '_socket', '_unsent')
+    __slots__ = ('_log', '_sending', '_socket', '_unsent')
 
     def __init__(self, *, endpoint: tuple[str, int], log: Log) -> None:
         self._log = log
@@ -39,6 +39,9 @@
             socket.SOL_SOCKET, socket.SO_RCVBUF, _BUFFER_BYTES
         )
         self._socket.bind(endpoint)
+        # A second object for the same socket: only sending must not block.
+        self._sending = self._socket.dup()
+        self._sending.setblocking(False)
 
     @property
     def unsent(self) -> int:
@@ -48,10 +51,7 @@
     def send(self, content: bytes, endpoint: tuple[str, int]) -> None:
         """Sends without blocking; what cannot be sent is lost and counted."""
         try:
-            # gevent's own sendto waits; MSG_DONTWAIT makes the first try final.
-            self._socket._sock.sendto(  # noqa: SLF001
-                content, socket.MSG_DONTWAIT, endpoint
-            )
+            self._sending.sendto(content, endpoint)
         except OSError:
             self._unsent += 1
 
--- a/anvilthread/flow_node/flow_process.py
+++ b/anvilthread/flow_node/flow_process.py
@@ -3,7 +3,7 @@
 import signal
 from collections.abc import Callable
 from random import Random
-from typing import Final
+from typing import Any, Final
 
 import gevent
 import msgspec
@@ -47,7 +47,9 @@
 _MS_PER_SECOND: Final = 1000
 
 SettingsLoader = Callable[[], Result[FlowNodeSettings, AnvilthreadError]]
-MessageHandler = Callable[[str, AnyMessage], None]
+
+#: What takes the messages of each type, with the host of their sender.
+MessageHandlers = dict[type, Callable[[str, Any], None]]
 
 
 class FlowProcess:
@@ -73,7 +75,7 @@
         'settings',
         'stopping',
         '_follower',
-        '_handle',
+        '_handlers',
         '_nodes',
     )
 
@@ -114,7 +116,7 @@
         )
         self.introducer.add_contacts(settings.contacts)
         self._follower: ConfigurationFollower | None = None
-        self._handle: MessageHandler | None = None
+        self._handlers: MessageHandlers = {}
 
     @property
     def is_ready(self) -> bool:
@@ -129,14 +131,14 @@
         self,
         source: ConfigurationSource,
         directory: NodeDirectory,
-        handle: MessageHandler,
+        handlers: MessageHandlers,
     ) -> None:
         """Starts the common tasks.
 
         Args:
             source: Where the configuration is read.
             directory: List of nodes for those that know nobody.
-            handle: Takes the messages about flows.
+            handlers: Take the messages about flows.
         """
         settings = self.settings
         self._follower = ConfigurationFollower(
@@ -162,7 +164,7 @@
         documents.start()
         gevent.signal_handler(signal.SIGTERM, self.stopping.set)
         gevent.signal_handler(signal.SIGHUP, self.reloading.set)
-        self._handle = handle
+        self._handlers = handlers
         gevent.spawn(self._nodes.serve, self._dispatch)
         gevent.spawn(self._follower.follow_store)
         gevent.spawn(self._follower.follow_peers)
@@ -270,8 +272,13 @@
             self.counters.add('messages_malformed')
             self.log.event('message_malformed', sender=host, reason=str(error))
             return
-        if not self._take_membership(host, message) and self._handle:
-            self._handle(host, message)
+        if self._take_membership(host, message):
+            return
+        handle = self._handlers.get(type(message))
+        if handle is None:
+            self.counters.add('messages_misdirected')
+        else:
+            handle(host, message)
 
     def _take_membership(self, host: str, message: AnyMessage) -> bool:
         """Handles messages about nodes; returns whether it was one."""
--- a/anvilthread/membership/member_table.py
+++ b/anvilthread/membership/member_table.py
@@ -1,6 +1,6 @@
 """The view of the members that one node holds."""
 
-from collections.abc import Iterator, Callable
+from collections.abc import Callable, Iterator
 
 from anvilthread.address import Address
 from anvilthread.membership.digest import Digest
--- a/anvilthread/reports/replay.py
+++ b/anvilthread/reports/replay.py
@@ -18,7 +18,6 @@
 from anvilthread.reports.trace import Trace
 from anvilthread.reports.verdict import Verdict
 
-
 #: The guarantees in the order of section 1 of the design.
 ALL_GUARANTEES: Final[tuple[Guarantee, ...]] = (
     ConnectionsKept(),
--- a/anvilthread/settings/__init__.py
+++ b/anvilthread/settings/__init__.py
@@ -1,5 +1,6 @@
 """The TOML settings of one process, and the keys of its cluster."""
 
+from anvilthread.file_fault import FileFault
 from anvilthread.settings.agent_settings import AgentSettings
 from anvilthread.settings.balancer_settings import BalancerSettings
 from anvilthread.settings.key_file import KeyFile
@@ -7,7 +8,6 @@
 from anvilthread.settings.keys import Keys
 from anvilthread.settings.node_settings import NodeSettings
 from anvilthread.settings.settings_error import SettingsError
-from anvilthread.settings.settings_fault import SettingsFault
 from anvilthread.settings.settings_reader import (
     read_agent_settings,
     read_balancer_settings,
@@ -21,7 +21,7 @@
     'Keys',
     'NodeSettings',
     'SettingsError',
-    'SettingsFault',
+    'FileFault',
     'read_agent_settings',
     'read_balancer_settings',
 )
--- a/anvilthread/settings/address_check.py
+++ b/anvilthread/settings/address_check.py
@@ -4,8 +4,8 @@
 from typing import Any, Final
 
 from anvilthread.address import Address
+from anvilthread.file_fault import FileFault
 from anvilthread.settings.field_reader import FieldReader
-from anvilthread.settings.settings_fault import SettingsFault
 
 _WILDCARD: Final = '0.0.0.0'  # noqa: S104
 #: Addresses that are told to other nodes, so that they must be reachable.
@@ -16,7 +16,7 @@
 
 def check_addresses(
     settings: Mapping[str, Any], reader: FieldReader
-) -> Iterator[SettingsFault]:
+) -> Iterator[FileFault]:
     """Yields the faults of addresses that cannot work together.
 
     Args:
--- a/anvilthread/settings/field_reader.py
+++ b/anvilthread/settings/field_reader.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from anvilthread.address import Address
-from anvilthread.settings.settings_fault import SettingsFault
+from anvilthread.file_fault import FileFault
 
 _PATH_SEPARATOR: Final = ' - at `$'
 
@@ -34,7 +34,7 @@
 
     def read(
         self, key: str, value: object, setting_type: object
-    ) -> Result[Any, SettingsFault]:
+    ) -> Result[Any, FileFault]:
         """Converts one value.
 
         Args:
@@ -55,15 +55,15 @@
             self.fault(key, reason, f'write {_sample(key, setting_type)}')
         )
 
-    def missing(self, key: str, setting_type: object) -> SettingsFault:
+    def missing(self, key: str, setting_type: object) -> FileFault:
         """The fault of a required key that is not there."""
         return self.fault(
             key, 'is missing', f'add {_sample(key, setting_type)}'
         )
 
-    def fault(self, key: str, reason: str, remedy: str) -> SettingsFault:
+    def fault(self, key: str, reason: str, remedy: str) -> FileFault:
         """A fault in this file."""
-        return SettingsFault(
+        return FileFault(
             file=str(self._path), key=key, reason=reason, remedy=remedy
         )
 
--- a/anvilthread/settings/key_document_reader.py
+++ b/anvilthread/settings/key_document_reader.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from anvilthread.file_fault import FileFault
 from anvilthread.routing.connection_id_codec import KEY_NUMBERS
 from anvilthread.settings.field_reader import FieldReader
 from anvilthread.settings.key_document import KeyDocument
@@ -13,7 +14,6 @@
 from anvilthread.settings.key_ring import KeyRing
 from anvilthread.settings.key_text import KEY_TYPES
 from anvilthread.settings.settings_error import SettingsError
-from anvilthread.settings.settings_fault import SettingsFault
 from anvilthread.transport.curve_key_pair import (
     CurveKeyError,
     CurveKeyPair,
@@ -39,7 +39,7 @@
 
     def __init__(self, *, path: Path) -> None:
         self._reader = FieldReader(path=path)
-        self._faults: list[SettingsFault] = []
+        self._faults: list[FileFault] = []
 
     def read(
         self, table: Mapping[str, Any]
@@ -123,7 +123,7 @@
         return False
 
     def _value(
-        self, outcome: Result[ValueT, SettingsFault], default: ValueT
+        self, outcome: Result[ValueT, FileFault], default: ValueT
     ) -> ValueT:
         if isinstance(outcome, Err):
             self._faults.append(outcome.err_value)
--- a/anvilthread/settings/key_file.py
+++ b/anvilthread/settings/key_file.py
@@ -4,12 +4,12 @@
 
 from result import Err, Ok, Result
 
+from anvilthread.file_fault import FileFault
 from anvilthread.settings.key_document import KeyDocument
 from anvilthread.settings.key_document_reader import KeyDocumentReader
 from anvilthread.settings.keys import Keys
 from anvilthread.settings.private_file import is_open_to_others, write_private
 from anvilthread.settings.settings_error import SettingsError
-from anvilthread.settings.settings_fault import SettingsFault
 from anvilthread.settings.toml_file import read_toml
 
 
@@ -81,7 +81,7 @@
         return Ok(None)
 
     def _fail(self, reason: str, remedy: str) -> Err[SettingsError]:
-        fault = SettingsFault(
+        fault = FileFault(
             file=str(self._path), key='', reason=reason, remedy=remedy
         )
         return Err(SettingsError(faults=(fault,)))
--- a/anvilthread/settings/settings_error.py
+++ b/anvilthread/settings/settings_error.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from anvilthread.error import AnvilthreadError
-from anvilthread.settings.settings_fault import SettingsFault
+from anvilthread.file_fault import FileFault
 
 
 class SettingsError(AnvilthreadError):
@@ -13,7 +13,7 @@
         faults: Every fault that was found, at least one.
     """
 
-    def __init__(self, *, faults: Iterable[SettingsFault]) -> None:
+    def __init__(self, *, faults: Iterable[FileFault]) -> None:
         self._faults = tuple(faults)
         super().__init__(
             reason='\n'.join(
@@ -23,7 +23,7 @@
         )
 
     @property
-    def faults(self) -> tuple[SettingsFault, ...]:
+    def faults(self) -> tuple[FileFault, ...]:
         """Every fault that was found."""
         return self._faults
 
--- a/anvilthread/settings/settings_reader.py
+++ b/anvilthread/settings/settings_reader.py
@@ -8,13 +8,13 @@
 import msgspec
 from result import Err, Ok, Result
 
+from anvilthread.file_fault import FileFault
 from anvilthread.settings.address_check import check_addresses
 from anvilthread.settings.agent_settings import AgentSettings
 from anvilthread.settings.balancer_settings import BalancerSettings
 from anvilthread.settings.field_reader import FieldReader
 from anvilthread.settings.node_settings import NodeSettings
 from anvilthread.settings.settings_error import SettingsError
-from anvilthread.settings.settings_fault import SettingsFault
 from anvilthread.settings.toml_file import read_toml
 
 SettingsT = TypeVar('SettingsT', bound=NodeSettings)
@@ -75,7 +75,7 @@
         field: msgspec.structs.FieldInfo,
         value: object,
         reader: FieldReader,
-    ) -> Result[Any, SettingsFault]:
+    ) -> Result[Any, FileFault]:
         setting_type = self._types[field.name]
         if value is not _NO_VALUE:
             return reader.read(field.name, value, setting_type)
@@ -85,7 +85,7 @@
 
     def _unknown(
         self, table: dict[str, Any], reader: FieldReader
-    ) -> Iterator[SettingsFault]:
+    ) -> Iterator[FileFault]:
         for key in table:
             if key not in self._types:
                 yield reader.fault(key, 'is not a known key', self._hint(key))
--- a/anvilthread/settings/toml_file.py
+++ b/anvilthread/settings/toml_file.py
@@ -6,8 +6,8 @@
 
 from result import Err, Ok, Result
 
+from anvilthread.file_fault import FileFault
 from anvilthread.settings.settings_error import SettingsError
-from anvilthread.settings.settings_fault import SettingsFault
 
 #: Larger than any settings file; guards against a wrong path.
 _MAX_BYTES: Final = 1_048_576
@@ -53,5 +53,5 @@
 def _fail(
     path: Path, reason: str, remedy: str
 ) -> Result[dict[str, Any], SettingsError]:
-    fault = SettingsFault(file=str(path), key='', reason=reason, remedy=remedy)
+    fault = FileFault(file=str(path), key='', reason=reason, remedy=remedy)
     return Err(SettingsError(faults=(fault,)))
--- a/anvilthread/transport/key_verifier.py
+++ b/anvilthread/transport/key_verifier.py
@@ -3,8 +3,8 @@
 from contextlib import suppress
 from typing import Any, Final
 
-from zmq import green as zmq
 from absl import logging
+from zmq import green as zmq
 from zmq.auth.base import Authenticator
 
 from anvilthread.transport.curve_key_pair import CurveKeyPair
--- a/anvilthread/transport/zmq_peer.py
+++ b/anvilthread/transport/zmq_peer.py
@@ -4,8 +4,8 @@
 from typing import Any, Final
 
 import gevent
-from zmq import green as zmq
 from absl import logging
+from zmq import green as zmq
 from zmq.utils.monitor import recv_monitor_message
 
 from anvilthread.address import Address
--- a/anvilthread/transport/zmq_transport.py
+++ b/anvilthread/transport/zmq_transport.py
@@ -3,9 +3,9 @@
 from typing import Final
 
 import gevent
-from zmq import green as zmq
 from absl import logging
 from gevent.queue import Queue
+from zmq import green as zmq
 
 from anvilthread.address import Address
 from anvilthread.clock import Clock
--- a/tests/path/test_whole_path.py
+++ b/tests/path/test_whole_path.py
@@ -8,9 +8,9 @@
 
 from anvilthread.address import Address
 from anvilthread.agent.client_connection import ClientConnection
+from anvilthread.reports.connection_events import CloseReason
 from anvilthread.routing.datagram_kind import DatagramKind
 from anvilthread.routing.encapsulated import Encapsulated
-from anvilthread.reports.connection_events import CloseReason
 from anvilthread.routing.packet_fate import PacketFate
 from standins.client import Client
 from tests.path.local_path import (
--- a/tests/telemetry/test_log.py
+++ b/tests/telemetry/test_log.py
@@ -14,9 +14,9 @@
 from anvilthread.address import Address
 from anvilthread.clock import ManualClock
 from anvilthread.telemetry.absl_log import AbslLog
+from anvilthread.telemetry.log_line import log_line
 from anvilthread.telemetry.log_sink import LogSink
 from anvilthread.telemetry.memory_log import MemoryLog
-from anvilthread.telemetry.log_line import log_line
 
 PREFIX = 'time=1970-01-01T00:00:01.500Z level=info event=seen'
 
--- a/tests/telemetry/test_metrics.py
+++ b/tests/telemetry/test_metrics.py
@@ -7,9 +7,8 @@
 
 from anvilthread.address import Address
 from anvilthread.telemetry.health import Health
-from anvilthread.telemetry.metrics import Metrics
+from anvilthread.telemetry.metrics import MetricNameError, Metrics
 from anvilthread.telemetry.telemetry_server import TelemetryServer
-from anvilthread.telemetry.metrics import MetricNameError
 
 
 def test_text_format(snapshot: SnapshotAssertion) -> None:
--- a/tests/transport/test_zmq_transport.py
+++ b/tests/transport/test_zmq_transport.py
@@ -4,8 +4,8 @@
 
 import gevent
 import pytest
-from zmq import green as zmq
 from absl import logging
+from zmq import green as zmq
 
 from anvilthread.address import Address
 from anvilthread.clock import SystemClock
