--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -146,7 +146,7 @@
     def start_process(self, host: str) -> None:
         """Starts the process of a VM."""
         path = Path(self._folder.name) / f'{host}.toml'
-        path.write_text(self._settings(host))
+        path.write_text(self.settings_of(host))
         log = Path(self._folder.name) / f'{host}.log'
         with log.open('ab') as output:
             self.processes[host] = subprocess.Popen(
@@ -202,26 +202,8 @@
             random=self.random,
         )
 
-    def log_of(self, host: str) -> str:
-        """Returns what a process has logged."""
-        path = Path(self._folder.name) / f'{host}.log'
-        return path.read_text() if path.exists() else ''
-
-    def _keep_logs(self) -> None:
-        """Copies the logs of a run with violations under run/."""
-        kept = ROOT / 'run' / f'soak-{self._seed}'
-        shutil.copytree(self._folder.name, kept, dirs_exist_ok=True)
-
-    def _holder(self, end: tuple[str, int]) -> PlatformTarget | None:
-        for target in self.targets.values():
-            if target.holds(end):
-                return target
-        return None
-
-    def _host(self, group: int, index: int) -> str:
-        return f'{self._network}.{group}.{index + 1}'
-
-    def _settings(self, host: str) -> str:
+    def settings_of(self, host: str) -> str:
+        """Returns the settings file of a VM."""
         ports = self.ports
         is_agent = host in self.services
         lines = [
@@ -249,6 +231,25 @@
         ]
         return '\n'.join(lines)
 
+    def log_of(self, host: str) -> str:
+        """Returns what a process has logged."""
+        path = Path(self._folder.name) / f'{host}.log'
+        return path.read_text() if path.exists() else ''
+
+    def _keep_logs(self) -> None:
+        """Copies the logs of a run with violations under run/."""
+        kept = ROOT / 'run' / f'soak-{self._seed}'
+        shutil.copytree(self._folder.name, kept, dirs_exist_ok=True)
+
+    def _holder(self, end: tuple[str, int]) -> PlatformTarget | None:
+        for target in self.targets.values():
+            if target.holds(end):
+                return target
+        return None
+
+    def _host(self, group: int, index: int) -> str:
+        return f'{self._network}.{group}.{index + 1}'
+
 
 def _quoted(hosts: list[str], port: int) -> str:
     entries = ', '.join(f'"{host}:{port}"' for host in hosts)
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -17,8 +17,10 @@
 _APPLY_S: Final = 3.0
 
 #: No opening packet reaches a target later than this after the
-#: acknowledgement that it drains: a packet may be on its way.
-_DRAIN_S: Final = 0.05
+#: acknowledgement that it drains. The agent allows none at all; on a busy
+#: machine one that was sent before may wait here to be read. Users are
+#: promised 2 s.
+_DRAIN_S: Final = 0.5
 
 _ANSWER: Final = re.compile(
     rb'HTTP/1\.1 200 OK\r\nContent-Length: (\d+)\r\n\r\n(.*)', re.DOTALL
