Let the first holder of a flow stay, and count a departed target as silent

Change: a second holder is ignored until the first denies the flow; a departed target counts as silent at once. Tests: test_first_holder_stays, test_departed_target_is_not_heard, both failed before.

--- a/anvilthread/flows/flow_balancer.py
+++ b/anvilthread/flows/flow_balancer.py
@@ -125,6 +125,11 @@
         flow = self._flows.get(key)
         if flow is None:
             flow = self._remember(key, host, message.service)
+        elif flow.is_held and flow.agent != host:
+            # The holder of a flow never changes. An agent whose target has
+            # died may take its silence for acceptance.
+            self._event('flow_held_twice', key, agent=host, holder=flow.agent)
+            return
         if not flow.is_held and flow.opening:
             self._latencies.observe(self._clock.now_ms() - flow.placed_ms)
         flow.agent = host
--- a/anvilthread/flows/target_watch.py
+++ b/anvilthread/flows/target_watch.py
@@ -171,6 +171,7 @@
             return False
         self._departed.add(last.incarnation)
         self._last = msgspec.structs.replace(last, is_draining=True)
+        self._heard_ms = self._clock.now_ms() - int(self._silence_ms) - 1
         self._log.event('target_departed', target=target)
         return True
 
--- a/tests/flows/test_flows.py
+++ b/tests/flows/test_flows.py
@@ -333,3 +333,26 @@
     for number in range(20):
         assert not cluster.is_reset(flow_key(number))
         assert len(cluster.bodies(flow_key(number))) == 3
+
+
+def test_first_holder_stays() -> None:
+    """Guards against a flow that moves to an agent with a dead target.
+
+    An agent whose target has crashed takes silence for acceptance, 40 ms
+    after the holder has answered.
+    """
+    cluster = FlowCluster(balancers=2, agents=3)
+    _open_flows(cluster, 1)
+    key = flow_key(0)
+    holder = cluster.holder(key)
+    cluster.request(key, b'second', cluster.balancers[1])
+    cluster.advance(10)
+    other = next(it for it in cluster.agents if it.target is not holder)
+    balancer = cluster.balancers[1].balancer
+    assert balancer is not None
+    balancer.on_held(other.record.host, Held(key=key, service=SERVICE))
+    cluster.request(key, b'third', cluster.balancers[1])
+    cluster.advance(10)
+    assert len(cluster.bodies(key)) == 3
+    assert other.target is not None
+    assert not other.target.bounced
--- a/tests/flows/test_target_watch.py
+++ b/tests/flows/test_target_watch.py
@@ -91,3 +91,13 @@
     assert watch.on_heartbeat(_heartbeat(1, born_ms=300))
     assert not watch.on_heartbeat(_heartbeat(2, born_ms=300))
     assert not watch.on_heartbeat(_heartbeat(6))
+
+
+def test_departed_target_is_not_heard() -> None:
+    """Guards against flows taken over for a target that has just stopped."""
+    watch, _ = _watch()
+    watch.on_heartbeat(_heartbeat(1))
+    assert watch.is_heard
+    watch.on_departure('t-1')
+    assert not watch.is_heard
+    assert not watch.accepts
