--- a/anvilthread/flow_node/flow_process.py
+++ b/anvilthread/flow_node/flow_process.py
@@ -244,16 +244,15 @@
             self.clock.sleep_ms(period_ms)
 
     def _reload(self, settings: FlowNodeSettings) -> None:
-        before = msgspec.structs.replace(
+        self.introducer.add_contacts(settings.contacts)
+        self.settings = msgspec.structs.replace(
             self.settings, contacts=settings.contacts
         )
         self.log.event(
             'settings_reloaded',
             contacts=','.join(settings.contacts),
-            needs_restart=before != settings,
+            needs_restart=self.settings != settings,
         )
-        self.introducer.add_contacts(settings.contacts)
-        self.settings = settings
 
     def _own_record(self) -> NodeRecord:
         settings = self.settings
