Let a new agent that knows fewer agents than the balancer prove no absence

A release starts such agents while balancers are well informed. Change: the balancer tells how many agents it knows. Test: test_agent_that_knows_nobody_proves_nothing, failed before.

--- a/anvilthread/flows/flow_agent.py
+++ b/anvilthread/flows/flow_agent.py
@@ -187,7 +187,12 @@
             self._send_held(host, packet.key)
             self._deliver(packet, flow)
             return
-        self._search.start(host, packet, offers_own=not self.is_complete)
+        self._search.start(
+            host,
+            packet,
+            offers_own=not self.is_complete,
+            agents=message.agents,
+        )
 
     def on_ask(self, host: str, message: Ask) -> None:
         """Answers whether the target holds a flow."""
--- a/anvilthread/flows/flow_balancer.py
+++ b/anvilthread/flows/flow_balancer.py
@@ -274,7 +274,11 @@
             self._counters.add('packets_without_agent')
             return
         self._event('holder_sought', packet.key, service=service, finder=agent)
-        message = Find(packet=packet.content, service=service)
+        message = Find(
+            packet=packet.content,
+            service=service,
+            agents=self._finder.count(service),
+        )
         self._network.send_node(agent, message)
 
     def _reject_unrouted(self, packet: FlowPacket) -> None:
--- a/anvilthread/flows/holder_search.py
+++ b/anvilthread/flows/holder_search.py
@@ -91,7 +91,12 @@
         self._marks = itertools.count(1)
 
     def start(
-        self, balancer: str, packet: FlowPacket, *, offers_own: bool
+        self,
+        balancer: str,
+        packet: FlowPacket,
+        *,
+        offers_own: bool,
+        agents: int = 0,
     ) -> None:
         """Looks for the holder of a flow.
 
@@ -99,6 +104,8 @@
             balancer: Host of the balancer that is to be told.
             packet: A packet of the flow.
             offers_own: Whether the own target may hold the flow.
+            agents: Agents of the service that the balancer knows, this one
+                included. A new agent that knows fewer proves no absence.
         """
         search = self._searches.get(packet.key)
         if search is not None:
@@ -106,21 +113,21 @@
             return
         own = self._roster.own
         now_ms = self._clock.now_ms()
-        agents = self._roster.agents(own.service)
-        asked = [node.host for node in agents if _answers(node, now_ms)]
+        others = self._roster.agents(own.service)
+        asked = [node.host for node in others if _answers(node, now_ms)]
         search = FlowSearch(
             balancer=balancer,
             asked=[*asked, own.host] if offers_own else asked,
             acknowledged=packet.acknowledged,
             now_ms=now_ms,
-            is_complete=len(asked) == len(agents),
+            is_complete=len(asked) >= max(len(others), agents - 1),
         )
         self._searches[packet.key] = search
         self._event(
             'holder_searched',
             packet.key,
             asked=len(asked),
-            known=len(agents),
+            known=len(others),
             offers_own=offers_own,
         )
         ask = Ask(packet=packet.content, service=own.service, balancer=balancer)
--- a/anvilthread/flows/rendezvous_finder.py
+++ b/anvilthread/flows/rendezvous_finder.py
@@ -5,6 +5,7 @@
 
 from anvilthread.clock import Clock
 from anvilthread.flows.flow_key import FlowKey
+from anvilthread.flows.known_node import KnownNode
 from anvilthread.flows.roster import Roster
 from anvilthread.routing.rendezvous import score
 
@@ -32,6 +33,10 @@
         """Whether this node has had the time to hear from all agents."""
         return self._clock.now_ms() - self._started_ms > _SETTLING_MS
 
+    def count(self, service: str) -> int:
+        """Returns the number of agents of a service that were heard."""
+        return len(self._heard(service))
+
     def choose(self, service: str, key: FlowKey) -> str | None:
         """Returns the host of the agent to ask.
 
@@ -43,11 +48,7 @@
             The host, or None if no agent of the service is known.
         """
         now_ms = self._clock.now_ms()
-        agents = [
-            node
-            for node in self._roster.agents(service)
-            if node.heard_ms is not None and not node.is_leaving
-        ]
+        agents = self._heard(service)
         live = [node for node in agents if node.is_fresh(now_ms)]
         key_hash = zlib.crc32(key)
         best = max(
@@ -56,3 +57,10 @@
             default=None,
         )
         return None if best is None else best.host
+
+    def _heard(self, service: str) -> list[KnownNode]:
+        return [
+            node
+            for node in self._roster.agents(service)
+            if node.heard_ms is not None and not node.is_leaving
+        ]
--- a/anvilthread/flows/search_messages.py
+++ b/anvilthread/flows/search_messages.py
@@ -9,10 +9,12 @@
     Attributes:
         packet: A packet of the flow; it is delivered once the holder is found.
         service: Service of the flow.
+        agents: Agents of the service that the balancer knows.
     """
 
     packet: bytes
     service: str
+    agents: int
 
 
 class Ask(Message, frozen=True, tag=4):
--- a/tests/flows/test_flows.py
+++ b/tests/flows/test_flows.py
@@ -356,3 +356,21 @@
     assert len(cluster.bodies(key)) == 3
     assert other.target is not None
     assert not other.target.bounced
+
+
+def test_agent_that_knows_nobody_proves_nothing() -> None:
+    """Guards against a reset by a new agent that has met no other yet."""
+    cluster = FlowCluster(balancers=2, agents=3)
+    _open_flows(cluster, 40)
+    node = cluster.add_agent(7)
+    cluster.advance(205)
+    for host in list(cluster.nodes):
+        if host.startswith('10.0.1.') and host != node.record.host:
+            cluster.cuts |= {(node.record.host, host), (host, node.record.host)}
+            node.roster._nodes.pop(host, None)
+    for number in range(40):
+        cluster.request(flow_key(number), b'next', cluster.balancers[1])
+    cluster.advance(60)
+    for number in range(40):
+        assert not cluster.is_reset(flow_key(number))
+    assert node.counters.counts['holder_searched'] > 0
