Show the reverted configuration to the soak's check for certain

The random fault may remove a route 0.2 s after it was added, before any node has read it (about once per second), so there was nothing to revert. Ruled out: the check itself; it needs a flow on the removed route. Change: the test keeps the route for 2.5 s. Bound and check stay.

--- a/tests/soak/test_mutants.py
+++ b/tests/soak/test_mutants.py
@@ -1,12 +1,13 @@
 """The soak notices faults that are put into the real programs."""
 
 import sys
+import time
 from pathlib import Path
 
 import pytest
 
 from soak import soak as soak_module
-from soak.cluster import SoakCluster
+from soak.cluster import EXTRA_PORT, SoakCluster
 from soak.faults import Faults
 from soak.soak import Soak, SoakResult
 
@@ -14,14 +15,17 @@
 
 #: Faults that bring out each mutant, in order.
 _DRAIN = ('drain_target', 'drain_target')
-_ROUTE = ('change_route',)
+_ROUTE = ('remove_route',)
 _RESTART = ('restart_balancer',)
 
 
 class _Script:
     """Injects named faults in place of random ones."""
 
-    def __init__(self, faults: Faults, names: tuple[str, ...]) -> None:
+    def __init__(
+        self, cluster: SoakCluster, faults: Faults, names: tuple[str, ...]
+    ) -> None:
+        self._cluster = cluster
         self._faults = faults
         self._names = names
         self.injected = faults.injected
@@ -30,8 +34,21 @@
         # Both balancers are in rotation, and long flows are open, by then.
         soak_module.gevent.sleep(1.5)
         for name in self._names:
-            getattr(self._faults, name)()
-        soak_module.gevent.sleep(4.5 if self._names == _ROUTE else 0.3)
+            getattr(self, name, getattr(self._faults, name, None))()
+        soak_module.gevent.sleep(0.3)
+
+    def remove_route(self) -> None:
+        """Removes a route after all nodes have taken it over.
+
+        Nodes read the configuration about once per second, so the random
+        fault may remove a route before any of them has seen it.
+        """
+        cluster = self._cluster
+        cluster.configure((EXTRA_PORT,))
+        soak_module.gevent.sleep(2.5)
+        cluster.configure(())
+        cluster.ledger.removed_s[EXTRA_PORT] = time.monotonic()
+        soak_module.gevent.sleep(4.5)
 
 
 def _run(
@@ -40,7 +57,7 @@
     program = () if mutant is None else (sys.executable, _MUTANT, mutant)
     cluster = SoakCluster(seed=7, balancers=2, agents=2, program=program)
     soak = Soak(cluster=cluster, seed=7)
-    soak._faults = _Script(soak._faults, names)
+    soak._faults = _Script(cluster, soak._faults, names)
     soak_module._START_S, before = start_s, soak_module._START_S
     try:
         return soak.run(1, only_planned=True)
