--- a/anvilthread/flows/flow_packet.py
+++ b/anvilthread/flows/flow_packet.py
@@ -37,8 +37,3 @@
     def opens(self) -> bool:
         """Whether a client asks for a new flow."""
         return self.is_syn and not self.is_ack
-
-    @property
-    def accepts(self) -> bool:
-        """Whether a target accepts a new flow."""
-        return self.is_syn and self.is_ack
