Spare targets whose requests come to nothing

Cause: placement went by load alone. A target that answers every request with an error is the least loaded one, so it drew flows; a crashed target whose agent lives kept reporting an idle target for 2.5 heartbeats (3 s).

The balancer leaves failing targets out unless more than half of the service would be left out. Health checks stay unused: they can be wrong either way.

--- a/anvilthread/flow_node/agent_process.py
+++ b/anvilthread/flow_node/agent_process.py
@@ -51,6 +51,7 @@
         '_handlers',
         '_rounds',
         '_target',
+        '_was_failing',
         'process',
     )
 
@@ -76,6 +77,7 @@
             log=process.log,
             counters=process.counters,
         )
+        self._was_failing = False
         self._handlers: MessageHandlers = {
             Forward: self._agent.on_forward,
             Place: self._agent.on_place,
@@ -89,7 +91,7 @@
         """Has a balancer that has just started know the target at once."""
         if node.record.role == NodeRole.BALANCER:
             self.process.network.send_node(
-                node.host, self._agent.report(_AGENT_REPORT_MS)
+                node.host, self._agent.condition.report(_AGENT_REPORT_MS)
             )
 
     def metrics(self) -> 'FlowMetrics':
@@ -117,16 +119,16 @@
         self.process.start(source, directory, self._handlers)
         gevent.spawn(self.process.packets.serve, self._on_target_packet)
         self.process.roster.subscribe(self._report_to)
-        self.process.every(_TICK_MS, self._agent.search.tick)
+        self.process.every(_TICK_MS, self._tick)
         gevent.spawn(self._report_to_balancers)
         self.process.every(_AGENT_REPORT_MS, self._report_to_agents)
-        self.process.every(_SWEEP_MS, self._agent.flows.sweep)
+        self.process.every(_SWEEP_MS, self._agent.condition.sweep)
 
     def wait(self) -> None:
         """Returns once the process may exit after SIGTERM."""
         process = self.process
         process.stopping.wait()
-        self._agent.stop()
+        self._agent.condition.stop()
         process.log.event('process_stopping', flows=len(self._agent.flows))
         process.leave(returns=not self._target.is_draining)
         started_ms = process.clock.now_ms()
@@ -141,16 +143,21 @@
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Takes a heartbeat in; returns once it is in effect here."""
-        accepted = self._agent.accepts
-        if self._target.on_heartbeat(heartbeat):
-            self._agent.on_target_restart('target_restarted')
-        if self._agent.accepts != accepted:
+        accepted = self._agent.condition.accepts
+        self._agent.on_heartbeat(heartbeat)
+        if self._agent.condition.accepts != accepted:
             self._report_to_all()
 
     def on_departure(self, target: str) -> None:
         """Notes that the target has stopped."""
-        if self._target.on_departure(target):
-            self._agent.on_target_restart('target_stopped')
+        if self._agent.on_departure(target):
+            self._report_to_all()
+
+    def _tick(self) -> None:
+        self._agent.tick()
+        is_failing = self._agent.condition.health.is_failing
+        if is_failing != self._was_failing:
+            self._was_failing = is_failing
             self._report_to_all()
 
     def _report_to_balancers(self) -> None:
@@ -158,7 +165,7 @@
         while True:
             agents = process.roster.agent_count + 1
             period_ms = balancer_period_ms(agents)
-            report = self._agent.report(period_ms)
+            report = self._agent.condition.report(period_ms)
             now_ms = process.clock.now_ms()
             for node in process.roster.balancers():
                 heard_ms = node.heard_ms
@@ -169,12 +176,12 @@
     def _report_to_agents(self) -> None:
         """Reports to the agents of the service, which look for flows."""
         service = self.process.settings.service
-        report = self._agent.report(_AGENT_REPORT_MS)
+        report = self._agent.condition.report(_AGENT_REPORT_MS)
         for node in self.process.roster.agents(service):
             self.process.network.send_node(node.host, report)
 
     def _report_to_all(self) -> None:
-        report = self._agent.report(_AGENT_REPORT_MS)
+        report = self._agent.condition.report(_AGENT_REPORT_MS)
         for node in self.process.roster.nodes:
             self.process.network.send_node(node.host, report)
 
--- a/anvilthread/flows/agent_flow_table.py
+++ b/anvilthread/flows/agent_flow_table.py
@@ -113,15 +113,22 @@
         self._end_request(flow)
         return flow.used_ms - requested_ms
 
-    def sweep(self) -> None:
-        """Forgets flows that are over, and requests without an answer."""
+    def sweep(self) -> int:
+        """Forgets flows that are over, and requests without an answer.
+
+        Returns:
+            How many requests have waited in vain.
+        """
         now_ms = self._clock.now_ms()
+        unanswered = 0
         for key, flow in self.items():
             requested_ms = flow.requested_ms
             if requested_ms is not None and now_ms - requested_ms > _STALE_MS:
                 self._end_request(flow)
+                unanswered += 1
             if now_ms - flow.used_ms > self._kept_ms(flow):
                 self.remove(key)
+        return unanswered
 
     def _end_request(self, flow: AgentFlow) -> None:
         if flow.requested_ms is not None:
--- a/anvilthread/flows/flow_agent.py
+++ b/anvilthread/flows/flow_agent.py
@@ -1,6 +1,7 @@
 """The agent of flows that are known by an address pair."""
 
 from anvilthread.clock import Clock
+from anvilthread.flows.agent_condition import AgentCondition
 from anvilthread.flows.agent_flow import AgentFlow
 from anvilthread.flows.agent_flow_table import AgentFlowTable
 from anvilthread.flows.flow_counters import FlowCounters
@@ -9,13 +10,12 @@
 from anvilthread.flows.flow_packet import FlowPacket
 from anvilthread.flows.holder_search import HolderSearch
 from anvilthread.flows.latency_buckets import LatencyBuckets
-from anvilthread.flows.node_messages import LoadReport
 from anvilthread.flows.packet_form import PacketForm
 from anvilthread.flows.packet_messages import Forward, Place, Refused
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
 from anvilthread.flows.search_messages import Ask, Find, Held, NotHeld
-from anvilthread.flows.target_watch import TargetWatch
+from anvilthread.flows.target_watch import Heartbeat, TargetWatch
 from anvilthread.telemetry.log import Log
 
 
@@ -39,17 +39,16 @@
 
     __slots__ = (
         '_clock',
+        '_condition',
         '_counters',
         '_flows',
         '_form',
-        '_is_stopping',
         '_latencies',
         '_log',
         '_network',
         '_roster',
         '_routes',
         '_search',
-        '_sequence',
         '_service',
         '_started_ms',
         '_target',
@@ -87,10 +86,16 @@
             log=log,
             counters=counters,
         )
+        self._condition = AgentCondition(
+            clock=clock,
+            own=roster.own,
+            routes=routes,
+            flows=self._flows,
+            target=target,
+            log=log,
+        )
         self._latencies = LatencyBuckets()
-        self._sequence = 0
         self._started_ms = clock.now_ms()
-        self._is_stopping = False
 
     @property
     def flows(self) -> AgentFlowTable:
@@ -103,9 +108,9 @@
         return self._latencies
 
     @property
-    def accepts(self) -> bool:
-        """Whether new flows may be placed here."""
-        return self._target.accepts and not self._is_stopping
+    def condition(self) -> AgentCondition:
+        """Whether new flows are taken, and what is reported."""
+        return self._condition
 
     @property
     def search(self) -> HolderSearch:
@@ -120,30 +125,10 @@
         uptime_ms = self._clock.now_ms() - self._started_ms
         return uptime_ms > self._routes.table.idle_ms
 
-    def stop(self) -> None:
-        """Refuses new flows from now on."""
-        self._is_stopping = True
-
-    def report(self, period_ms: int = 0) -> LoadReport:
-        """Describes the load of the target.
-
-        Args:
-            period_ms: Time until the next report at the latest.
-        """
-        self._sequence += 1
-        return LoadReport(
-            node=self._roster.own,
-            sequence=self._sequence,
-            accepts=self.accepts,
-            working=self._flows.meter.working + self._flows.opening,
-            busy=round(self._flows.meter.mean, 3),
-            flows=self._flows.long_flows,
-            period_ms=period_ms,
-            slots=self._target.slots,
-            cold_ms=self._target.cold_ms,
-            version=self._routes.table.version,
-            checked_ms=self._routes.checked_ms,
-        )
+    def tick(self) -> None:
+        """Checks offers, searches and opening packets without an answer."""
+        self._search.tick()
+        self._condition.tick()
 
     def on_place(self, host: str, message: Place) -> None:
         """Hands an opening packet to the target, or refuses it."""
@@ -158,6 +143,7 @@
         flow = self._flows.get(packet.key)
         if flow is None or flow.is_closing:
             flow = self._flows.add(packet.key, host)
+            self._condition.note_opening(packet.key)
         flow.balancer = host
         self._network.send_target(packet.content)
 
@@ -229,33 +215,50 @@
             flow.is_open = True
             if flow.balancer:
                 self._send_held(flow.balancer, packet.key)
+        if packet.is_reset and flow.requested_ms is not None:
+            self._condition.health.note_failure('flow_reset_by_target')
+        working = self._flows.meter.working
         latency_ms = self._flows.note_target(packet, flow)
         if latency_ms is not None:
             self._latencies.observe(latency_ms)
+            status = self._form.status(packet.content)
+            self._condition.health.note_answer(
+                status=status, working=working, slots=self._target.slots
+            )
             self._event(
                 'request_answered',
                 packet.key,
                 request=flow.request_id,
-                status=self._form.status(packet.content),
+                status=status,
                 took_ms=latency_ms,
             )
         self._network.send_client(packet.key, packet.content)
 
-    def on_target_restart(self, reason: str) -> None:
-        """Resets the flows of a target that has lost them."""
-        for key, flow in self._flows.items():
-            self._flows.remove(key)
-            if flow.is_open and not flow.is_closing:
-                self._reset(key, flow.acknowledged, reason)
+    def on_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Takes in what the target says of itself."""
+        was_draining = self._target.is_draining
+        if not self._target.is_heard:
+            self._condition.health.start_over()
+        if self._target.on_heartbeat(heartbeat):
+            if was_draining:
+                self._condition.health.start_over()
+            else:
+                self._condition.health.note_crash()
+            self._reset_flows('target_restarted')
+
+    def on_departure(self, target: str) -> bool:
+        """Notes that a target has stopped; returns whether it was this one."""
+        has_stopped = self._target.on_departure(target)
+        if has_stopped:
+            self._reset_flows('target_stopped')
+        return has_stopped
 
     def _refusal(self, packet: FlowPacket, message: Place) -> str:
         """Returns why a new flow cannot be taken; empty if it can."""
         if message.service != self._service:
             return 'other_service'
-        if self._is_stopping:
-            return 'stopping'
-        if self._target.is_draining:
-            return 'draining'
+        if self._condition.refusal:
+            return self._condition.refusal
         table = self._routes.table
         if table.version >= message.version:
             route = table.route_of(packet.key)
@@ -328,6 +331,13 @@
         self._network.send_client(key, content)
         self._event('flow_reset', key, reason=reason)
 
+    def _reset_flows(self, reason: str) -> None:
+        """Resets the flows of a target that has lost them."""
+        for key, flow in self._flows.items():
+            self._flows.remove(key)
+            if flow.is_open and not flow.is_closing:
+                self._reset(key, flow.acknowledged, reason)
+
     def _event(self, name: str, key: FlowKey, **fields: object) -> None:
         self._counters.add(name)
         self._log.event(name, flow=flow_name(key), **fields)
--- a/anvilthread/flows/flow_placement.py
+++ b/anvilthread/flows/flow_placement.py
@@ -13,6 +13,10 @@
 #: send it a burst (Mitzenmacher, The Power of Two Choices, 2001).
 _DRAWN: Final = 3
 
+#: Largest share of a service's agents that is spared for failing. If more of
+#: them fail, the cause is elsewhere, and the rest could not bear the load.
+_MAX_SPARED_SHARE: Final = 0.5
+
 
 class FlowPlacement:
     """Chooses among the agents of a service by their load.
@@ -49,7 +53,7 @@
             if node.accepts and node.host not in excluded
         ]
         fresh = [node for node in agents if node.is_fresh(now_ms)]
-        usable = fresh or agents
+        usable = _without_failing(fresh or agents)
         if not usable:
             return None
         drawn = self._random.sample(usable, min(_DRAWN, len(usable)))
@@ -58,5 +62,12 @@
         return chosen
 
 
+def _without_failing(agents: list[KnownNode]) -> list[KnownNode]:
+    """Leaves out agents whose targets fail, unless there are too many."""
+    sound = [node for node in agents if not node.is_failing]
+    spared = len(agents) - len(sound)
+    return agents if spared > len(agents) * _MAX_SPARED_SHARE else sound
+
+
 def _load(node: KnownNode) -> float:
     return node.load
--- a/anvilthread/flows/known_node.py
+++ b/anvilthread/flows/known_node.py
@@ -87,6 +87,11 @@
             return False
         return self._report.accepts
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the target of the peer fails its requests."""
+        return self._report is not None and self._report.is_failing
+
     @property
     def load(self) -> float:
         """Expected requests per slot, own sends included."""
--- a/anvilthread/flows/node_messages.py
+++ b/anvilthread/flows/node_messages.py
@@ -20,6 +20,7 @@
         version: Version of the configuration in force.
         checked_ms: Age of the last check of that version with the store; -1
             if it has never been checked.
+        is_failing: Whether the requests of the target come to nothing.
     """
 
     node: NodeRecord
@@ -33,6 +34,7 @@
     cold_ms: int
     version: int
     checked_ms: int
+    is_failing: bool = False
 
 
 class Hello(Message, frozen=True, tag=10):
--- a/anvilthread/flows/target_watch.py
+++ b/anvilthread/flows/target_watch.py
@@ -97,6 +97,10 @@
             return False
         return self._clock.now_ms() - self._heard_ms <= self._silence_ms
 
+    def is_heard_since(self, since_ms: int) -> bool:
+        """Whether the target has shown life at a time or later."""
+        return self._heard_ms >= since_ms
+
     @property
     def accepts(self) -> bool:
         """Whether the target may be given new flows.
--- a/standins/flow_cluster.py
+++ b/standins/flow_cluster.py
@@ -160,15 +160,15 @@
             slots=2,
             cold_ms=0,
         )
-        if self.watch.on_heartbeat(heartbeat) and self.agent is not None:
-            self.agent.on_target_restart('target_restarted')
+        if self.agent is not None:
+            self.agent.on_heartbeat(heartbeat)
 
     def tick(self) -> None:
         """Does what is due every 20 ms."""
         if self.balancer is not None:
             self.balancer.tick()
         if self.agent is not None:
-            self.agent.search.tick()
+            self.agent.tick()
         if self._now() % GREETING_MS == 0:
             self.introducer.tick()
             self._report()
@@ -212,13 +212,13 @@
 
     def _report(self) -> None:
         if self.agent is not None:
-            report = self.agent.report(GREETING_MS)
+            report = self.agent.condition.report(GREETING_MS)
             for node in self.roster.nodes:
                 self.send_node(node.host, report)
 
     def _report_to(self, node: KnownNode) -> None:
         if self.agent is not None:
-            self.send_node(node.host, self.agent.report(GREETING_MS))
+            self.send_node(node.host, self.agent.condition.report(GREETING_MS))
 
     def _exchange(self, target: FlowTarget, content: bytes) -> None:
         answer = target.take(content)
--- a/standins/flow_form.py
+++ b/standins/flow_form.py
@@ -5,6 +5,9 @@
 from anvilthread.flows.flow_key import FlowKey
 from anvilthread.flows.flow_packet import FlowPacket
 
+#: First bytes of an answer by which a target says that it has failed.
+FAILURE = b'failure:'
+
 
 class PlainPacket(msgspec.Struct, frozen=True, kw_only=True):
     """A packet of either end of a flow."""
@@ -81,7 +84,10 @@
 
     def status(self, content: bytes) -> int:
         """Returns the status of the answer that begins in a packet; 0 if none."""
-        return 200 if decode_packet(content).body else 0
+        body = decode_packet(content).body
+        if body.startswith(FAILURE):
+            return 500
+        return 200 if body else 0
 
     def reset(self, key: FlowKey, acknowledged: int) -> bytes:
         """Makes a packet that ends a flow at its client."""
--- a/standins/flow_target.py
+++ b/standins/flow_target.py
@@ -2,7 +2,12 @@
 
 import msgspec
 
-from standins.flow_form import PlainPacket, decode_packet, encode_packet
+from standins.flow_form import (
+    FAILURE,
+    PlainPacket,
+    decode_packet,
+    encode_packet,
+)
 
 
 class FlowTarget:
@@ -26,6 +31,8 @@
         self.is_draining = False
         #: Whether data of foreign flows is answered with a reset.
         self.resets_foreign = False
+        #: Whether every request fails, while heartbeats go on as ever.
+        self.fails = False
         self.sequence = 0
         #: Requests answered by flow.
         self.flows: dict[bytes, int] = {}
@@ -60,7 +67,7 @@
                 key=packet.key,
                 flags='A',
                 acknowledged=packet.sequence,
-                body=f'{self.name}:'.encode() + packet.body,
+                body=self._answer(packet.body),
             )
         )
 
@@ -72,6 +79,10 @@
             self.flows[packet.key] = 0
         return encode_packet(PlainPacket(key=packet.key, flags='SA'))
 
+    def _answer(self, body: bytes) -> bytes:
+        prefix = FAILURE if self.fails else f'{self.name}:'.encode()
+        return prefix + body
+
     def _refuse(self, packet: PlainPacket) -> bytes:
         if self.resets_foreign:
             return encode_packet(PlainPacket(key=packet.key, flags='R'))
