Reset the flows of a target that answers no opening packets

Cause: the clients of a crashed target waited until their deadline, or until its next incarnation sent a heartbeat, since its agent knew of the death only from missing heartbeats and told nobody. Long flows, 70% of the requests, lose one request each that way.

Ruled out: taking unanswered requests as proof, since a cold or slow target may work for 0.2 s and more without sending anything. Opening packets are answered at once whatever the load is.

Change: two opening packets that stay without any sign of life for 100 ms show that a target is dead; its agent resets its flows and reports it as failing. Time counts only while the agent itself runs: after a pause, the target's answers may still be unread.

Tests: test_flows_of_a_dead_target; its first case fails without the change, the third one if a pause counts as waiting.

--- a/anvilthread/flows/agent_condition.py
+++ b/anvilthread/flows/agent_condition.py
@@ -13,10 +13,18 @@
 from anvilthread.flows.target_watch import TargetWatch
 from anvilthread.telemetry.log import Log
 
-#: A target accepts a flow within some ms; balancers wait for 80 ms. One that
-#: has sent nothing at all for this long after an opening packet is down.
+#: A target accepts a flow within some ms, however busy it is. One that has
+#: sent nothing at all for this long after an opening packet is down.
 _SILENT_MS: Final = 100
 
+#: Opening packets without any sign of life after which a target is dead; a
+#: single one could have been lost.
+_SILENT_OPENINGS: Final = 2
+
+#: Longest time between two ticks that counts as waiting for the target: what
+#: has arrived while this process stood still is read after the tick.
+_TICK_MS: Final = 40
+
 
 class AgentCondition:
     """Load, health and acceptance of an agent and the target beside it.
@@ -40,6 +48,9 @@
         '_routes',
         '_sequence',
         '_target',
+        '_ticked_ms',
+        '_unanswered',
+        '_waited_ms',
     )
 
     def __init__(
@@ -58,7 +69,10 @@
         self._flows = flows
         self._target = target
         self._health = TargetHealth(clock=clock, log=log)
-        self._opening: deque[tuple[int, FlowKey]] = deque()
+        self._opening: deque[tuple[int, int, FlowKey]] = deque()
+        self._ticked_ms = clock.now_ms()
+        self._waited_ms = 0
+        self._unanswered: list[int] = []
         self._sequence = 0
         self._is_stopping = False
 
@@ -107,17 +121,33 @@
 
     def note_opening(self, key: FlowKey) -> None:
         """Notes a flow whose opening packet the target is handed."""
-        self._opening.append((self._clock.now_ms(), key))
+        self._opening.append((self._waited_ms, self._clock.now_ms(), key))
 
-    def tick(self) -> None:
-        """Notices opening packets that the target has not answered."""
-        due_ms = self._clock.now_ms() - _SILENT_MS
+    def tick(self) -> bool:
+        """Notices opening packets that the target has not answered.
+
+        Returns:
+            Whether they show that the target is dead and its flows are lost.
+        """
+        now_ms = self._clock.now_ms()
+        self._waited_ms += min(now_ms - self._ticked_ms, _TICK_MS)
+        self._ticked_ms = now_ms
+        due_ms = self._waited_ms - _SILENT_MS
         while self._opening and self._opening[0][0] <= due_ms:
-            placed_ms, key = self._opening.popleft()
+            _, placed_ms, key = self._opening.popleft()
             flow = self._flows.get(key)
-            is_answered = flow is None or flow.is_open
-            if not is_answered and not self._target.is_heard_since(placed_ms):
-                self._health.note_failure('opening_unanswered')
+            if flow is not None and not flow.is_open:
+                self._unanswered.append(placed_ms)
+        self._unanswered = [
+            placed_ms
+            for placed_ms in self._unanswered
+            if not self._target.is_heard_since(placed_ms)
+        ]
+        if len(self._unanswered) < _SILENT_OPENINGS:
+            return False
+        self._unanswered.clear()
+        self._health.note_silence()
+        return True
 
     def sweep(self) -> None:
         """Forgets flows that are over, and requests without an answer."""
--- a/anvilthread/flows/flow_agent.py
+++ b/anvilthread/flows/flow_agent.py
@@ -128,7 +128,8 @@
     def tick(self) -> None:
         """Checks offers, searches and opening packets without an answer."""
         self._search.tick()
-        self._condition.tick()
+        if self._condition.tick():
+            self._reset_flows('target_silent')
 
     def on_place(self, host: str, message: Place) -> None:
         """Hands an opening packet to the target, or refuses it."""
--- a/anvilthread/flows/target_health.py
+++ b/anvilthread/flows/target_health.py
@@ -92,13 +92,17 @@
             self._note('', 0)
 
     def note_failure(self, reason: str) -> None:
-        """Notes a request or an opening packet that came to nothing.
+        """Notes a request that came to nothing.
 
         Args:
             reason: What has happened, for the log.
         """
         self._note(reason, 1)
 
+    def note_silence(self) -> None:
+        """Notes that the target no longer answers anything."""
+        self._rest('silent', self._clock.now_ms())
+
     def start_over(self) -> None:
         """Judges a target afresh that has taken the place of another."""
         self._failed = 0
--- a/tests/flows/test_flows.py
+++ b/tests/flows/test_flows.py
@@ -374,3 +374,31 @@
     for number in range(40):
         assert not cluster.is_reset(flow_key(number))
     assert node.counters.counts['holder_searched'] > 0
+
+
+@pytest.mark.parametrize(
+    ('paused_ms', 'is_dead'), [(0, True), (0, False), (3000, False)]
+)
+def test_flows_of_a_dead_target(paused_ms: int, is_dead: bool) -> None:
+    """Guards against clients that wait for a target that has crashed.
+
+    And against resets while the target lives, also by an agent that stood
+    still for a while and has yet to read what its target has sent.
+    """
+    cluster = FlowCluster(balancers=1, agents=1)
+    _open_flows(cluster, 5)
+    if is_dead:
+        cluster.targets[0].crash()
+    agent = cluster.agents[0].agent
+    assert agent is not None
+    for number in range(5, 8):
+        cluster.open(flow_key(number))
+    if paused_ms:
+        # The opening packets have been handed over, no answer is read yet.
+        cluster.advance(1)
+        cluster.clock.advance(paused_ms)
+        agent.tick()
+    cluster.advance(200)
+    for number in range(5):
+        assert cluster.is_reset(flow_key(number)) == is_dead
+    assert agent.condition.health.is_failing == is_dead
