Let refusals right after an agent's start prove nothing

A restarted agent does not know what its target works on, so a full target seemed to refuse with room to spare, and rested.

Change: refusals count only once an agent has run for 3 s.

Test: test_agent_that_has_just_started fails without the change.

--- a/anvilthread/flows/target_health.py
+++ b/anvilthread/flows/target_health.py
@@ -35,6 +35,11 @@
 #: Requests per slot above which a target may refuse for want of room.
 _CROWDED: Final = 2
 
+#: Time after the start of an agent for which refusals prove nothing: it has
+#: not seen what its target works on. Requests without an answer for this
+#: long no longer count as work.
+_SETTLING_MS: Final = 3000
+
 
 class TargetHealth:
     """Notices a target that fails while its heartbeats say that it is well.
@@ -57,6 +62,7 @@
         '_noted_ms',
         '_rest_ms',
         '_resting_until_ms',
+        '_started_ms',
         '_total',
     )
 
@@ -65,7 +71,8 @@
         self._log = log
         self._failed: float = 0
         self._total: float = 0
-        self._noted_ms = clock.now_ms()
+        self._started_ms = clock.now_ms()
+        self._noted_ms = self._started_ms
         self._rest_ms = 0
         self._resting_until_ms = 0
         self._crashed_ms: int | None = None
@@ -75,6 +82,10 @@
         """Whether the target had better get no new flows."""
         return self._clock.now_ms() < self._resting_until_ms
 
+    @property
+    def _is_settled(self) -> bool:
+        return self._clock.now_ms() - self._started_ms > _SETTLING_MS
+
     def note_answer(self, *, status: int, working: int, slots: int) -> None:
         """Notes an answer.
 
@@ -84,7 +95,7 @@
             slots: Requests that the target processes at a time.
         """
         if status in _REFUSALS:
-            if working <= slots * _CROWDED:
+            if self._is_settled and working <= slots * _CROWDED:
                 self._note('refused_with_room', 1)
         elif status >= _SERVER_ERROR:
             self._note('server_error', 1)
