Have targets fail and fall silent in the soak

The two near-copies that harm the links of clients are one method, and SoakCluster.log_of, which nobody called, is gone.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -231,11 +231,6 @@
         ]
         return '\n'.join(lines)
 
-    def log_of(self, host: str) -> str:
-        """Returns what a process has logged."""
-        path = Path(self._folder.name) / f'{host}.log'
-        return path.read_text() if path.exists() else ''
-
     def _keep_logs(self) -> None:
         """Copies the logs of a run with violations under run/."""
         kept = ROOT / 'run' / f'soak-{self._seed}'
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -14,6 +14,10 @@
 #: Longest time from SIGTERM to the end, as the platform allows.
 _GRACE_S: Final = 6.0
 
+#: Time for which the links of clients lose or delay packets: several of the
+#: intervals after which both ends send again.
+_HARM_S: Final = 2.0
+
 
 class Faults:
     """Injects faults by name and counts them.
@@ -43,8 +47,10 @@
             self.kill_agent,
             self.freeze,
             self.crash_target,
-            self.lossy_link,
-            self.reorder_link,
+            self.fail_target,
+            self.silence_target,
+            self.lose_packets,
+            self.reorder_packets,
             self.cut_balancer,
             self.kill_all,
         )
@@ -156,21 +162,33 @@
         gevent.sleep(pause_s)
         cluster.start_target(host)
 
-    def lossy_link(self) -> None:
+    def fail_target(self) -> None:
+        """Has a target fail its requests while it calls itself well."""
+        cluster = self._cluster
+        target = self._random.choice(list(cluster.targets.values()))
+        pause_s = self._random.uniform(0.5, 3.0)
+        cluster.ledger.disturb(pause_s)
+        target.fails = True
+        gevent.sleep(pause_s)
+        target.fails = False
+
+    def silence_target(self) -> None:
+        """Has a target answer nothing for a while; it keeps its flows."""
+        cluster = self._cluster
+        target = self._random.choice(list(cluster.targets.values()))
+        pause_s = self._random.uniform(0.1, 2.0)
+        cluster.ledger.disturb(pause_s)
+        target.is_silent = True
+        gevent.sleep(pause_s)
+        target.is_silent = False
+
+    def lose_packets(self) -> None:
         """Has packets of clients get lost."""
-        router = self._cluster.router
-        self._cluster.ledger.disturb(2.0)
-        router.loss = 0.05
-        gevent.sleep(2.0)
-        router.loss = 0
+        self._harm_packets(loss=0.05)
 
-    def reorder_link(self) -> None:
+    def reorder_packets(self) -> None:
         """Delays some packets of clients, so that others overtake them."""
-        router = self._cluster.router
-        self._cluster.ledger.disturb(2.0)
-        router.delayed = 0.3
-        gevent.sleep(2.0)
-        router.delayed = 0
+        self._harm_packets(delayed=0.3)
 
     def cut_balancer(self) -> None:
         """Loses everything on the way to one balancer, not back."""
@@ -210,6 +228,13 @@
         if host not in cluster.processes:
             cluster.start_process(host)
 
+    def _harm_packets(self, *, loss: float = 0, delayed: float = 0) -> None:
+        router = self._cluster.router
+        self._cluster.ledger.disturb(_HARM_S)
+        router.loss, router.delayed = loss, delayed
+        gevent.sleep(_HARM_S)
+        router.loss, router.delayed = 0, 0
+
     def _set_store(self, mode: str) -> None:
         store = self._cluster.store
         self._cluster.ledger.removed_s.clear()
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -23,7 +23,8 @@
 _DRAIN_S: Final = 0.5
 
 _ANSWER: Final = re.compile(
-    rb'HTTP/1\.1 200 OK\r\nContent-Length: (\d+)\r\n\r\n(.*)', re.DOTALL
+    rb'HTTP/1\.1 (?:200|500) [\w ]+\r\nContent-Length: (\d+)\r\n\r\n(.*)',
+    re.DOTALL,
 )
 
 #: The promises, in the order of the report.
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -77,6 +77,10 @@
         #: Monotonic time in s of the acknowledgement that it drains, if any.
         self.drained_s: float | None = None
         self.flows: dict[tuple[str, int], _Flow] = {}
+        #: Whether requests fail, while heartbeats go on as ever.
+        self.fails = False
+        #: Whether packets are dropped both ways, while flows are kept.
+        self.is_silent = False
         self._ports = ports
         self._observer = observer
         self._random = random
@@ -113,10 +117,10 @@
                 packet, is_intact = read_packet(content)
             except struct.error:
                 is_intact = False
-            if is_intact:
-                self._handle(packet, content)
-            else:
+            if not is_intact:
                 self._observer.on_altered(self.name)
+            elif not self.is_silent:
+                self._handle(packet, content)
 
     def _handle(self, packet: EndPacket, content: bytes) -> None:
         flow = self.flows.get(packet.source)
@@ -164,7 +168,8 @@
         self._observer.on_run(request, self.service, self.name)
         gevent.sleep(self._random.uniform(0.005, 0.04))
         text = f'{self.service}:{request}:{"x" * self._random.randint(0, 800)}'
-        head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(text)}\r\n\r\n'
+        status = '500 Internal Server Error' if self.fails else '200 OK'
+        head = f'HTTP/1.1 {status}\r\nContent-Length: {len(text)}\r\n\r\n'
         body = f'{head}{text}'.encode()
         answer = EndPacket(
             source=packet.destination,
@@ -193,7 +198,7 @@
         self._send(reply.encode())
 
     def _send(self, content: bytes) -> None:
-        if self._socket.fileno() >= 0:
+        if self._socket.fileno() >= 0 and not self.is_silent:
             outbound = (self.host, self._ports['outbound'])
             self._socket.sendto(content, outbound)
 
