--- a/Makefile
+++ b/Makefile
@@ -42,3 +42,4 @@
 
 soak: setup
 	$(PYTHON) -m soak --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
+	$(PYTHON) -m soak.connections --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -10,90 +10,41 @@
 
 import typer
 
-from anvilthread.reports.replay import ALL_GUARANTEES, replay
-from anvilthread.reports.trace_file import read_trace
 from demo.cluster import Cluster
 from demo.firm import FIRMS
+from demo.loaded_run import LoadedRun
 from demo.verdict import Verdict
 
 
 class Demonstration:
-    """Runs the clusters and decides what held.
+    """Changes the clusters under load and decides what held.
 
     Args:
-        clusters: One cluster a firm.
-        directory: Where results go.
-        streams: Streams a service.
-        clients: Requesters a service.
-        seconds: Time of the load.
+        run: The clusters and their load, not started yet.
     """
 
-    def __init__(
-        self,
-        *,
-        clusters: list[Cluster],
-        directory: Path,
-        streams: int,
-        clients: int,
-        seconds: float,
-    ) -> None:
-        self._clusters = clusters
-        self._directory = directory
-        self._streams = streams
-        self._clients = clients
-        self._seconds = seconds
-        self._started_s = time.monotonic()
+    def __init__(self, *, run: LoadedRun) -> None:
+        self._run = run
+        self._clusters = run.clusters
         self._in_force_s: float = 0
         self._imbalance = 1.0
 
     def run(self) -> Verdict:
         """Starts everything, changes it under load and ends it."""
         try:
-            self._start()
+            self._run.start()
             self._change()
-            return self._decide()
+            verdict = Verdict(
+                imbalance=self._imbalance, in_force_s=self._in_force_s
+            )
+            self._run.judge(verdict)
         finally:
             for cluster in self._clusters:
                 cluster.processes.end_all()
-
-    def _start(self) -> None:
-        self._say('starting stores, fabrics, balancers, agents and targets')
-        for cluster in self._clusters:
-            cluster.start()
-        for cluster in self._clusters:
-            cluster.wait_all_ready()
-        self._say('all nodes are ready; starting the load')
-        for cluster in self._clusters:
-            self._start_load(cluster)
-        self._started_s = time.monotonic()
-
-    def _start_load(self, cluster: Cluster) -> None:
-        services = [
-            part
-            for service in cluster.firm.services
-            for part in (
-                '--service',
-                f'{service.name}={cluster.service_address(service)}',
-            )
-        ]
-        cluster.processes.start(
-            'load',
-            'standins.load',
-            *services,
-            '--streams',
-            str(self._streams),
-            '--clients',
-            str(self._clients),
-            '--seconds',
-            str(self._seconds),
-            '--out',
-            str(self._results(cluster)),
-            '--keys',
-            str(cluster.keys),
-        )
+        return verdict
 
     def _change(self) -> None:
-        self._wait_until(0.2)
+        self._run.wait_until(0.2)
         # Long streams do not move, so evenness is judged before the changes.
         self._imbalance = max(map(_imbalance, self._clusters))
         self._scrape()
@@ -108,37 +59,6 @@
         self._at(0.8, 'applying a configuration', self._apply)
         self._at(0.9, 'killing the VM of target 3', self._kill_target)
 
-    def _decide(self) -> Verdict:
-        verdict = Verdict(
-            imbalance=self._imbalance, in_force_s=self._in_force_s
-        )
-        self._wait_until(1)
-        for cluster in self._clusters:
-            if cluster.processes.wait('load', 60):
-                raise RuntimeError(f'the load of {cluster.firm.name} failed')
-            outcomes = verdict.add_clients(self._results(cluster))
-            verdict.add_ledgers(cluster.ledgers(), outcomes)
-            for number, drained_s in cluster.drained.items():
-                verdict.add_drain(cluster.ledger(number), drained_s)
-            self._replay(cluster, verdict)
-            for name in cluster.processes.failed():
-                self._say(f'{cluster.firm.name}: {name} has ended by itself')
-        return verdict
-
-    def _replay(self, cluster: Cluster, verdict: Verdict) -> None:
-        path = cluster.record(self._results(cluster))
-        verdict.learn_s = max(verdict.learn_s, cluster.trace.reset_delay_s())
-        lost = cluster.trace.count_lost()
-        verdict.broken -= lost
-        verdict.lost_with_target += lost
-        for found in replay(read_trace(path).unwrap(), ALL_GUARANTEES):
-            verdict.violated += bool(found.violations)
-            for violation in found.violations[:3]:
-                self._say(
-                    f'{cluster.firm.name}: {found.name}: '
-                    f'line {violation.line}: {violation.reason}'
-                )
-
     def _kill_balancer(self, cluster: Cluster) -> None:
         cluster.kill_balancer(2)
         # The fabric notices later than the balancer dies.
@@ -179,23 +99,12 @@
     def _at(
         self, share: float, text: str, change: Callable[[Cluster], None]
     ) -> None:
-        self._wait_until(share)
-        self._say(text)
+        self._run.wait_until(share)
+        self._run.say(text)
         with ThreadPoolExecutor() as pool:
             list(pool.map(change, self._clusters))
         self._scrape()
 
-    def _wait_until(self, share: float) -> None:
-        due_s = self._started_s + share * self._seconds
-        time.sleep(max(0, due_s - time.monotonic()))
-
-    def _results(self, cluster: Cluster) -> Path:
-        return self._directory / f'{cluster.firm.name}.json'
-
-    def _say(self, text: str) -> None:
-        elapsed_s = time.monotonic() - self._started_s
-        typer.echo(f'[{elapsed_s:5.1f} s] {text}')
-
 
 def main(
     seconds: Annotated[float, typer.Option(help='Time of the load.')] = 30,
@@ -210,9 +119,9 @@
 ) -> None:
     """Prints one line of results; exits with 1 if a guarantee was missed."""
     with tempfile.TemporaryDirectory(prefix='anvilthread-') as temporary:
-        directory = keep or Path(temporary)
+        directory = (keep or Path(temporary)).resolve()
         directory.mkdir(parents=True, exist_ok=True)
-        demonstration = Demonstration(
+        run = LoadedRun(
             clusters=[
                 Cluster(firm=firm, directory=directory / firm.name)
                 for firm in FIRMS
@@ -222,7 +131,7 @@
             clients=clients,
             seconds=seconds,
         )
-        verdict = demonstration.run()
+        verdict = Demonstration(run=run).run()
     typer.echo(verdict.line())
     if not verdict.holds or (check_times and not verdict.in_time):
         sys.exit(1)
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -107,6 +107,7 @@
         self.update_fabric()
         self.trace.add('stop_started', f'balancer-{number}')
         self.processes.stop(f'balancer-{number}')
+        self.trace.add('node_stopped', f'balancer-{number}', planned=True)
 
     def update_fabric(self, **changes: object) -> None:
         """Tells the fabric which balancers there are, and its faults."""
@@ -171,10 +172,17 @@
             str(self.ledger(number)),
         )
 
-    def drain_target(self, number: int) -> None:
-        """Drains a target through the command line."""
-        self.drained[number] = time.monotonic()
-        self.trace.add('drain_started', f'agent-{number}')
+    def drain_target(self, number: int, *, from_answer: bool = False) -> None:
+        """Drains a target through the command line.
+
+        Args:
+            number: Number of the target.
+            from_answer: Whether the time until nothing new starts counts
+                from the agent's answer, since the agent may stand still
+                while it is asked.
+        """
+        if not from_answer:
+            self._note_drain(number)
         self.processes.call(
             'anvilthread',
             'target',
@@ -183,6 +191,8 @@
             '--keys',
             str(self.keys),
         )
+        if from_answer:
+            self._note_drain(number)
 
     def kill_target(self, number: int) -> None:
         """Kills a target and its agent, as the loss of their VM does."""
@@ -213,6 +223,19 @@
         Raises:
             TimeoutError: If that takes more than 30 s.
         """
+        self.submit(deadline_ms)
+        applied_s = time.monotonic()
+        for kind, numbers in ((1, self._balancers), (2, self._live_targets())):
+            for number in numbers:
+                self.probe(kind, number).wait_revision()
+        return time.monotonic() - applied_s
+
+    def submit(self, deadline_ms: int) -> None:
+        """Applies a change without waiting for the nodes.
+
+        Args:
+            deadline_ms: New deadline of the requests of every service.
+        """
         directory = self._files.configuration
         text = self.firm.configuration().replace(
             'stream_paths', f'deadline_ms = {deadline_ms}\nstream_paths'
@@ -228,15 +251,10 @@
             '--operator',
             'demo',
         )
-        applied_s = time.monotonic()
         self._revision += 1
         self.trace.add(
             'configuration_accepted', 'operator', revision=self._revision
         )
-        for kind, numbers in ((1, self._balancers), (2, self._live_targets())):
-            for number in numbers:
-                self.probe(kind, number).wait_revision()
-        return time.monotonic() - applied_s
 
     def connections(self) -> dict[int, int]:
         """Open connections of every target by the agents' metrics."""
@@ -302,6 +320,10 @@
         """Address at which clients reach a service."""
         return Address(host=self.firm.ip(9, 1), port=service.port)
 
+    def _note_drain(self, number: int) -> None:
+        self.drained[number] = time.monotonic()
+        self.trace.add('drain_started', f'agent-{number}')
+
     def _live_targets(self) -> list[int]:
         names = self.processes.names()
         return sorted(
--- a/demo/trace.py
+++ b/demo/trace.py
@@ -12,6 +12,7 @@
 _IN_FORCE: Final = re.compile(
     r'time=(\S+) .* event=configuration_in_force node=(\S+) revision=(\d+)'
 )
+_STARTED: Final = re.compile(r'time=(\S+) .* event=node_started node=(\S+)')
 
 
 class Trace:
@@ -64,14 +65,15 @@
                 )
 
     def add_log(self, path: Path) -> None:
-        """Adds the revisions that a node put in force."""
+        """Adds the start of a node and the revisions that it put in force."""
+        for started in _STARTED.finditer(path.read_text()):
+            self._add('node_started', _wall_ms(started[1]), started[2])
         for match in _IN_FORCE.finditer(path.read_text()):
-            moment = datetime.fromisoformat(match[1])
             revision = int(match[3])
             if revision:
                 self._add(
                     'configuration_in_force',
-                    int(moment.timestamp() * _MS_PER_SECOND),
+                    _wall_ms(match[1]),
                     match[2],
                     revision=revision,
                 )
@@ -113,3 +115,8 @@
         self._events.append(
             {'kind': kind, 'ts_ms': ts_ms, 'node': node, **fields}
         )
+
+
+def _wall_ms(text: str) -> int:
+    moment = datetime.fromisoformat(text)
+    return int(moment.timestamp() * _MS_PER_SECOND)
--- /dev/null
+++ b/soak/connections.py
@@ -0,0 +1,102 @@
+"""Soaks the path of connections with routable IDs."""
+
+import os
+import tempfile
+from pathlib import Path
+from random import Random
+from typing import Annotated, Final
+
+import typer
+
+from demo.cluster import Cluster
+from demo.firm import Firm, Service
+from demo.loaded_run import LoadedRun
+from demo.verdict import Verdict
+from soak.connection_faults import ConnectionFaults
+
+#: Time at the end of the load without new faults, in which every wait for
+#: readiness and every request can end.
+_CALM_S: Final = 6.0
+
+#: Time before the first fault, in which the streams are opened.
+_QUIET_S: Final = 1.0
+
+
+def soak_connections(
+    *, seed: int, seconds: float, directory: Path
+) -> tuple[Verdict, ConnectionFaults]:
+    """Runs one cluster under load and faults, and judges it.
+
+    Args:
+        seed: Seed of every choice.
+        seconds: Time of faults.
+        directory: Where settings, ledgers and logs go.
+
+    Returns:
+        What clients and targets have seen, and what was injected.
+    """
+    firm = Firm(
+        name=f'soak-{seed}',
+        # Another soak may run on this machine at the same time.
+        network=40 + os.getpid() % 200,
+        sites=('north', 'south'),
+        pools=(
+            (
+                (
+                    Service(name='bookings', number=1, port=4431),
+                    Service(name='dispatch', number=2, port=4432),
+                ),
+                3,
+            ),
+            ((Service(name='statements', number=3, port=4433),), 2),
+        ),
+        slots=2,
+    )
+    cluster = Cluster(firm=firm, directory=directory)
+    run = LoadedRun(
+        clusters=[cluster],
+        directory=directory,
+        streams=6,
+        clients=3,
+        seconds=seconds + _CALM_S,
+    )
+    faults = ConnectionFaults(cluster=cluster, random=Random(seed))
+    verdict = Verdict()
+    try:
+        run.start()
+        run.wait_until(_QUIET_S / run.seconds)
+        faults.run(run.left_s - _CALM_S)
+        run.judge(verdict)
+    finally:
+        cluster.processes.end_all()
+    return verdict, faults
+
+
+def main(
+    seed: Annotated[int, typer.Option(help='First seed.')] = 1,
+    seeds: Annotated[int, typer.Option(help='Number of seeds.')] = 1,
+    seconds: Annotated[float, typer.Option(help='Time of faults each.')] = 12,
+    keep: Annotated[
+        Path | None, typer.Option(help='Keep logs and ledgers here.')
+    ] = None,
+) -> None:
+    """Prints a line a seed; exits with 1 if a guarantee was missed."""
+    has_failed = False
+    for number in range(seed, seed + seeds):
+        with tempfile.TemporaryDirectory(prefix='anvilthread-') as temporary:
+            directory = (keep or Path(temporary)).resolve() / str(number)
+            directory.mkdir(parents=True)
+            verdict, faults = soak_connections(
+                seed=number, seconds=seconds, directory=directory
+            )
+        injected = ','.join(f'{k}:{n}' for k, n in faults.injected.items())
+        typer.echo(f'seed={number} {verdict.line()} injected={injected}')
+        for failure in faults.failures:
+            typer.echo(f'seed={number} fault_failed={failure!r}')
+        has_failed |= bool(faults.failures) or not verdict.holds
+    if has_failed:
+        raise typer.Exit(1)
+
+
+if __name__ == '__main__':
+    typer.run(main)
