Count an agent's connections without walking all of them

For each first packet, an agent walked all its connections to count those whose handshake is complete or young, which costs the most under a flood of first packets before thousands of open connections. The table keeps the connections whose handshake was incomplete when last looked at, and walks only these. Counts are as before, see test_connection_table; no figure was measured.

--- a/anvilthread/agent/connection_table.py
+++ b/anvilthread/agent/connection_table.py
@@ -16,12 +16,14 @@
     one that it chose itself, which is unique only together with its address.
     """
 
-    __slots__ = ('_by_client', '_by_id', '_connections')
+    __slots__ = ('_by_client', '_by_id', '_connections', '_opening')
 
     def __init__(self) -> None:
         self._connections: dict[ClientConnection, ConnectionIds] = {}
         self._by_id: dict[bytes, ConnectionIds] = {}
         self._by_client: dict[tuple[Address, bytes], ClientConnection] = {}
+        #: Connections whose handshake was incomplete when last looked at.
+        self._opening: set[ClientConnection] = set()
 
     def __len__(self) -> int:
         return len(self._connections)
@@ -29,7 +31,7 @@
     @property
     def half_open(self) -> int:
         """Number of connections whose handshake is not complete."""
-        return sum(not entry.is_established for entry in self._connections)
+        return len(self._unestablished())
 
     def count_active(self, now_ms: int) -> int:
         """Number of connections without those that clients have abandoned.
@@ -40,10 +42,11 @@
         Args:
             now_ms: Monotonic time.
         """
-        return sum(
-            entry.is_established or now_ms - entry.opened_ms < _HANDSHAKE_MS
-            for entry in self._connections
+        abandoned = sum(
+            now_ms - entry.opened_ms >= _HANDSHAKE_MS
+            for entry in self._unestablished()
         )
+        return len(self._connections) - abandoned
 
     def connections(self) -> list[ClientConnection]:
         """Returns every connection."""
@@ -70,14 +73,24 @@
         """Adds a connection under the IDs reserved for it."""
         ids.connection = connection
         self._connections[connection] = ids
+        self._opening.add(connection)
         self._by_client[ids.client_key] = connection
 
     def remove(self, connection: ClientConnection) -> None:
         """Removes a connection under all its IDs."""
         ids = self._connections.pop(connection)
+        self._opening.discard(connection)
         self._by_client.pop(ids.client_key, None)
         ids.clear()
 
+    def _unestablished(self) -> set[ClientConnection]:
+        # Only these are looked at for each first packet: an agent holds
+        # thousands of established connections and few others.
+        self._opening = {
+            entry for entry in self._opening if not entry.is_established
+        }
+        return self._opening
+
 
 class ConnectionIds:
     """The IDs of one connection.
