Compute the tag of a datagram in one place

EncapsulationCodec and KeyedTag each kept keyed states, checked keys and compared tags; the former compared with ==, which takes longer the more bytes of a forged tag are right. The codec uses KeyedTag now, whose purpose of no bytes leaves the wire form as it was (the codec's tests of fixed bytes pass unchanged, but for the name of the error).

--- a/anvilthread/routing/encapsulation_codec.py
+++ b/anvilthread/routing/encapsulation_codec.py
@@ -1,6 +1,5 @@
 """Wire form of encapsulated datagrams."""
 
-import hashlib
 import struct
 from socket import inet_aton, inet_ntoa
 from typing import Final
@@ -8,9 +7,9 @@
 import msgspec
 
 from anvilthread.address import Address
-from anvilthread.error import AnvilthreadError
 from anvilthread.routing.datagram_kind import DatagramKind
 from anvilthread.routing.encapsulated import Encapsulated
+from anvilthread.transport.keyed_tag import TAG_SIZE, KeyedTag
 
 #: Version, kind, service, service address, client, balancer, alternate, hops.
 _HEADER: Final = struct.Struct('!BBH6s6s6s6sB')
@@ -21,17 +20,13 @@
 #: Service with its address, and the client's host and port.
 _ANSWER_FIELDS: Final = struct.Struct('!8s4sH')
 _VERSION: Final = 1
-_TAG_SIZE: Final = 8
 _NO_ALTERNATE: Final = bytes(Address.packed_size)
 _KINDS: Final = {int(kind): kind for kind in DatagramKind}
 _ANSWER_START: Final = bytes((_VERSION, DatagramKind.ANSWER))
-_ANSWER_FIELDS_AT: Final = _TAG_SIZE + len(_ANSWER_START)
-
-#: Smallest and largest key of the tag in bytes.
-TAG_KEY_SIZES: Final = range(16, hashlib.blake2b.MAX_KEY_SIZE + 1)
+_ANSWER_FIELDS_AT: Final = TAG_SIZE + len(_ANSWER_START)
 
 #: Bytes that encapsulation adds to a packet.
-OVERHEAD_SIZE: Final = _HEADER.size + _TAG_SIZE
+OVERHEAD_SIZE: Final = _HEADER.size + TAG_SIZE
 
 
 class Answer(msgspec.Struct, gc=False):
@@ -49,10 +44,6 @@
     payload: bytes
 
 
-class EncapsulationKeyError(AnvilthreadError):
-    """The datagram keys of the settings cannot be used."""
-
-
 class EncapsulationCodec:
     """Writes and checks encapsulated datagrams.
 
@@ -61,23 +52,13 @@
             while a rotation is under way.
 
     Raises:
-        EncapsulationKeyError: If there is no key or a key is too short.
+        DatagramKeyError: If there is no key or a key has a wrong length.
     """
 
-    __slots__ = ('_accepted', '_current')
+    __slots__ = ('_tag',)
 
     def __init__(self, *, keys: tuple[bytes, ...]) -> None:
-        if not keys or any(len(key) not in TAG_KEY_SIZES for key in keys):
-            raise EncapsulationKeyError(
-                reason='a datagram key is missing or has a wrong length',
-                remedy='give at least one key of 16 to 64 bytes',
-            )
-        # Copying a keyed state is cheaper than hashing the key per datagram.
-        states = [
-            hashlib.blake2b(key=key, digest_size=_TAG_SIZE) for key in keys
-        ]
-        self._current = states[0]
-        self._accepted = states
+        self._tag = KeyedTag(keys=keys, purpose=b'')
 
     def encode(self, datagram: Encapsulated) -> bytes:
         """Returns the tag, the header and the payload."""
@@ -115,7 +96,7 @@
             alternate,
             hops,
         )
-        return self._seal(header + payload)
+        return self._tag.seal(header + payload)
 
     def encode_forward(
         self, start: bytes, client: tuple[str, int], end: bytes, payload: bytes
@@ -130,11 +111,11 @@
         """
         host, port = client
         header = _FORWARD.pack(start, inet_aton(host), port, end)
-        return self._seal(header + payload)
+        return self._tag.seal(header + payload)
 
     def decode(self, wire: bytes) -> Encapsulated | None:
         """Returns the datagram, or None if it is malformed or forged."""
-        if len(wire) < OVERHEAD_SIZE or not self._is_authentic(wire):
+        if len(wire) < OVERHEAD_SIZE or self._tag.open(wire) is None:
             return None
         (
             version,
@@ -145,7 +126,7 @@
             balancer,
             alternate,
             hops,
-        ) = _HEADER.unpack_from(wire, _TAG_SIZE)
+        ) = _HEADER.unpack_from(wire, TAG_SIZE)
         if version != _VERSION or kind not in _KINDS:
             return None
         return Encapsulated(
@@ -165,29 +146,13 @@
         Returns:
             None if the datagram is malformed or forged or of another kind.
         """
-        if len(wire) < OVERHEAD_SIZE or not self._is_authentic(wire):
+        if len(wire) < OVERHEAD_SIZE or self._tag.open(wire) is None:
             return None
-        if wire[_TAG_SIZE:_ANSWER_FIELDS_AT] != _ANSWER_START:
+        if wire[TAG_SIZE:_ANSWER_FIELDS_AT] != _ANSWER_START:
             return None
         source, host, port = _ANSWER_FIELDS.unpack_from(wire, _ANSWER_FIELDS_AT)
         return Answer(source, (inet_ntoa(host), port), wire[OVERHEAD_SIZE:])
 
-    def _seal(self, body: bytes) -> bytes:
-        state = self._current.copy()
-        state.update(body)
-        return state.digest() + body
-
-    def _is_authentic(self, wire: bytes) -> bool:
-        tag = wire[:_TAG_SIZE]
-        # Copying a datagram is cheaper than making a view of it.
-        body = wire[_TAG_SIZE:]
-        for keyed in self._accepted:
-            state = keyed.copy()
-            state.update(body)
-            if state.digest() == tag:
-                return True
-        return False
-
 
 def forward_start(*, service: int, service_address: bytes) -> bytes:
     """Returns the header of a forwarded packet up to the client's address."""
--- a/anvilthread/transport/keyed_tag.py
+++ b/anvilthread/transport/keyed_tag.py
@@ -45,19 +45,18 @@
 
     def seal(self, payload: bytes) -> bytes:
         """Returns the tag and the payload."""
-        return _tag(self._accepted[0], payload) + payload
+        state = self._accepted[0].copy()
+        state.update(payload)
+        return state.digest() + payload
 
     def open(self, datagram: bytes) -> bytes | None:
         """Returns the payload, or None if no accepted key made the tag."""
+        # Copying a datagram is cheaper than making a view of it.
         payload = datagram[TAG_SIZE:]
         tag = datagram[:TAG_SIZE]
-        for state in self._accepted:
-            if hmac.compare_digest(_tag(state, payload), tag):
+        for keyed in self._accepted:
+            state = keyed.copy()
+            state.update(payload)
+            if hmac.compare_digest(state.digest(), tag):
                 return payload
         return None
-
-
-def _tag(state: 'hashlib.blake2b', payload: bytes) -> bytes:
-    copied = state.copy()
-    copied.update(payload)
-    return copied.digest()
--- a/tests/routing/test_encapsulation_codec.py
+++ b/tests/routing/test_encapsulation_codec.py
@@ -10,11 +10,11 @@
 from anvilthread.routing.encapsulation_codec import (
     OVERHEAD_SIZE,
     EncapsulationCodec,
-    EncapsulationKeyError,
     answer_source,
     forward_end,
     forward_start,
 )
+from anvilthread.transport.keyed_tag import DatagramKeyError
 
 OLD_KEY = b'o' * 32
 NEW_KEY = b'n' * 32
@@ -161,7 +161,7 @@
 @pytest.mark.parametrize('keys', [(), (b'',), (bytes(15),), (bytes(65),)])
 def test_unusable_keys_name_the_remedy(keys: tuple[bytes, ...]) -> None:
     """Guards against datagrams without an effective tag."""
-    with pytest.raises(EncapsulationKeyError) as raised:
+    with pytest.raises(DatagramKeyError) as raised:
         EncapsulationCodec(keys=keys)
     assert raised.value.remedy
 
