Deny flows for a target that is not there

Targets had been scaled in and replaced before, so some agents started again beside no target. Such an agent offered packets of unknown flows to nobody and answered no search, so no search of the service could prove a flow absent and no client was told.

Change: an agent denies a flow if its target has not been heard although it must have been by now (2.5 heartbeats), or if three flows were offered over 0.4 s without any sign of life. After a pause of the process, offers wait anew, since what the target has returned may be unread; until now, such a pause could even claim a flow.

Test: test_agent_whose_target_does_not_come_back fails before; its second case keeps the flows of a target whose agent alone has restarted.

--- a/anvilthread/flows/holder_search.py
+++ b/anvilthread/flows/holder_search.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from typing import Final
 
+import msgspec
+
 from anvilthread.clock import Clock
 from anvilthread.flows.flow_counters import FlowCounters
 from anvilthread.flows.flow_key import FlowKey, flow_name
@@ -29,6 +31,16 @@
 #: An agent silent for this long does not answer a question now.
 _ANSWERS_MS: Final = 1500
 
+#: Offers of so many flows over at least this time, without any sign of life
+#: from the target, show that there is none: it would have returned those
+#: flows that it does not hold, and answered the others.
+_MISSING_OFFERS: Final = 3
+_MISSING_MS: Final = 400
+
+#: After a pause this long, what the target has returned may be unread still.
+#: Ticks come every 20 ms.
+_PAUSE_MS: Final = 60
+
 _MAX_MARK: Final = 0xFFFFFFFF
 
 #: Takes a flow over that the target turned out to hold, for a balancer.
@@ -64,6 +76,8 @@
         '_roster',
         '_searches',
         '_target',
+        '_ticked_ms',
+        '_unanswered',
     )
 
     def __init__(
@@ -89,6 +103,9 @@
         self._searches: dict[FlowKey, FlowSearch] = {}
         self._offers: dict[int, Offer] = {}
         self._marks = itertools.count(1)
+        self._ticked_ms = clock.now_ms()
+        #: Time of the first offer of each flow that has come to nothing.
+        self._unanswered: dict[FlowKey, int] = {}
 
     def start(
         self,
@@ -192,10 +209,16 @@
     def tick(self) -> None:
         """Ends offers and searches that are over."""
         now_ms = self._clock.now_ms()
+        pause_ms = now_ms - self._ticked_ms
+        self._ticked_ms = now_ms
         for mark, offer in list(self._offers.items()):
-            if now_ms - offer.started_ms > _OFFER_MS:
+            if pause_ms > _PAUSE_MS:
+                self._offers[mark] = msgspec.structs.replace(
+                    offer, started_ms=now_ms
+                )
+            elif now_ms - offer.started_ms > _OFFER_MS:
                 self._offers.pop(mark)
-                self._claim(offer)
+                self._settle(offer)
         for key, search in list(self._searches.items()):
             if now_ms - search.started_ms > _SEARCH_MS:
                 self._searches.pop(key)
@@ -209,11 +232,27 @@
         else:
             self._network.send_node(offer.finder, message)
 
-    def _claim(self, offer: Offer) -> None:
-        """Tells that the target has kept a packet, if it is there at all."""
-        if not (offer.is_heard and self._target.is_heard):
-            self._counters.add('offers_unanswered')
+    def _settle(self, offer: Offer) -> None:
+        """Concludes from the silence of the target after an offer."""
+        if self._target.is_heard:
+            self._unanswered.clear()
+            if offer.is_heard:
+                self._claim(offer)
             return
+        self._counters.add('offers_unanswered')
+        self._unanswered.setdefault(offer.key, offer.started_ms)
+        if self._target.is_missing or self._is_nobody_there:
+            self._deny(offer)
+
+    @property
+    def _is_nobody_there(self) -> bool:
+        if len(self._unanswered) < _MISSING_OFFERS:
+            return False
+        since_ms = min(self._unanswered.values())
+        return self._clock.now_ms() - since_ms >= _MISSING_MS
+
+    def _claim(self, offer: Offer) -> None:
+        """Tells that the target has kept a packet."""
         self._on_claim(offer.key, offer.balancer)
         own = self._roster.own
         held = Held(key=offer.key, service=own.service)
--- a/anvilthread/flows/target_watch.py
+++ b/anvilthread/flows/target_watch.py
@@ -97,6 +97,12 @@
             return False
         return self._clock.now_ms() - self._heard_ms <= self._silence_ms
 
+    @property
+    def is_missing(self) -> bool:
+        """Whether a target that lives would have been heard by now."""
+        since_ms = max(self._heard_ms, self._started_ms)
+        return self._clock.now_ms() - since_ms > self._silence_ms
+
     def is_heard_since(self, since_ms: int) -> bool:
         """Whether the target has shown life at a time or later."""
         return self._heard_ms >= since_ms
--- a/tests/flows/test_flows.py
+++ b/tests/flows/test_flows.py
@@ -11,6 +11,7 @@
     route_table,
 )
 from standins.flow_form import PlainPacket
+from standins.flow_target import FlowTarget
 
 
 def _open_flows(cluster: FlowCluster, count: int) -> None:
@@ -402,3 +403,41 @@
     for number in range(5):
         assert cluster.is_reset(flow_key(number)) == is_dead
     assert agent.condition.health.is_failing == is_dead
+
+
+def _lose_power(cluster: FlowCluster, lost: int) -> FlowTarget:
+    """Restarts all processes and targets, but for one target."""
+    balancers, agents = len(cluster.balancers), len(cluster.agents)
+    for number in range(balancers):
+        cluster.add_balancer(number)
+    kept = cluster.nodes[f'10.0.1.{lost + 1}'].target
+    assert kept is not None
+    kept.is_up = False
+    for number in range(agents):
+        if number != lost:
+            cluster.nodes.pop(f'10.0.1.{number + 1}')
+        cluster.add_agent(number)
+    return kept
+
+
+@pytest.mark.parametrize('is_back', [False, True])
+def test_agent_whose_target_does_not_come_back(is_back: bool) -> None:
+    """Guards against searches that wait for a target that is not there.
+
+    Pattern: a power loss after targets were drained and taken away; their
+    agents start again beside nothing.
+    """
+    cluster = FlowCluster(balancers=1, agents=3)
+    _open_flows(cluster, 6)
+    target = _lose_power(cluster, lost=2)
+    # If it is back, only its agent has restarted, as in planned work.
+    target.is_up = is_back
+    cluster.advance(100)
+    for _ in range(6):
+        for number in range(6):
+            if not cluster.is_reset(flow_key(number)):
+                cluster.request(flow_key(number), b'next')
+        cluster.advance(200)
+    for number in range(6):
+        is_held = is_back and flow_key(number) in target.flows
+        assert cluster.is_reset(flow_key(number)) != is_held
