Take any packet of a target as a sign of its life

The thresholds are five flows over 0.5 s.

Test: the third case of test_agent_whose_target_does_not_come_back fails if returned packets do not count.

--- a/anvilthread/flows/flow_agent.py
+++ b/anvilthread/flows/flow_agent.py
@@ -202,10 +202,10 @@
 
     def on_target_packet(self, packet: FlowPacket) -> None:
         """Handles a packet that the target has sent."""
+        self._target.on_packet()
         if packet.is_bounced:
             self._on_bounced(packet)
             return
-        self._target.on_packet()
         flow = self._flows.get(packet.key)
         if packet.is_reset and (flow is None or not flow.is_open):
             self._on_foreign_reset(packet.key, flow)
--- a/anvilthread/flows/holder_search.py
+++ b/anvilthread/flows/holder_search.py
@@ -34,8 +34,8 @@
 #: Offers of so many flows over at least this time, without any sign of life
 #: from the target, show that there is none: it would have returned those
 #: flows that it does not hold, and answered the others.
-_MISSING_OFFERS: Final = 3
-_MISSING_MS: Final = 400
+_MISSING_OFFERS: Final = 5
+_MISSING_MS: Final = 500
 
 #: After a pause this long, what the target has returned may be unread still.
 #: Ticks come every 20 ms.
@@ -104,7 +104,8 @@
         self._offers: dict[int, Offer] = {}
         self._marks = itertools.count(1)
         self._ticked_ms = clock.now_ms()
-        #: Time of the first offer of each flow that has come to nothing.
+        #: Time of the first offer of each flow that the target, not heard
+        #: so far, has not returned.
         self._unanswered: dict[FlowKey, int] = {}
 
     def start(
@@ -234,18 +235,17 @@
 
     def _settle(self, offer: Offer) -> None:
         """Concludes from the silence of the target after an offer."""
-        if self._target.is_heard:
-            self._unanswered.clear()
-            if offer.is_heard:
-                self._claim(offer)
+        if offer.is_heard and self._target.is_heard:
+            self._claim(offer)
             return
         self._counters.add('offers_unanswered')
-        self._unanswered.setdefault(offer.key, offer.started_ms)
-        if self._target.is_missing or self._is_nobody_there:
+        if self._target.is_missing or self._is_nobody_there(offer):
             self._deny(offer)
 
-    @property
-    def _is_nobody_there(self) -> bool:
+    def _is_nobody_there(self, offer: Offer) -> bool:
+        if self._target.has_shown_life:
+            return False
+        self._unanswered.setdefault(offer.key, offer.started_ms)
         if len(self._unanswered) < _MISSING_OFFERS:
             return False
         since_ms = min(self._unanswered.values())
--- a/anvilthread/flows/target_watch.py
+++ b/anvilthread/flows/target_watch.py
@@ -97,6 +97,11 @@
             return False
         return self._clock.now_ms() - self._heard_ms <= self._silence_ms
 
+    @property
+    def has_shown_life(self) -> bool:
+        """Whether anything has come from the target since the start here."""
+        return self._heard_ms >= self._started_ms
+
     @property
     def is_missing(self) -> bool:
         """Whether a target that lives would have been heard by now."""
@@ -164,7 +169,7 @@
         return False
 
     def on_packet(self) -> None:
-        """Notes that the target has sent a packet."""
+        """Notes that the target has sent a packet, or returned one."""
         self._heard_ms = self._clock.now_ms()
 
     def on_departure(self, target: str) -> bool:
--- a/standins/flow_target.py
+++ b/standins/flow_target.py
@@ -31,6 +31,8 @@
         self.is_draining = False
         #: Whether data of foreign flows is answered with a reset.
         self.resets_foreign = False
+        #: Whether requests are answered, or worked on for a long time.
+        self.answers = True
         #: Whether every request fails, while heartbeats go on as ever.
         self.fails = False
         self.sequence = 0
@@ -62,6 +64,8 @@
             return None
         self.flows[packet.key] += 1
         self.served.append(packet.body)
+        if not self.answers:
+            return None
         return encode_packet(
             PlainPacket(
                 key=packet.key,
--- a/tests/flows/test_flows.py
+++ b/tests/flows/test_flows.py
@@ -4,6 +4,7 @@
 
 from anvilthread.flows.search_messages import Held
 from standins.flow_cluster import (
+    HEARTBEAT_MS,
     SERVICE,
     SERVICE_PORT,
     FlowCluster,
@@ -420,24 +421,31 @@
     return kept
 
 
-@pytest.mark.parametrize('is_back', [False, True])
-def test_agent_whose_target_does_not_come_back(is_back: bool) -> None:
+@pytest.mark.parametrize(
+    ('is_back', 'answers'), [(False, True), (True, True), (True, False)]
+)
+def test_agent_whose_target_does_not_come_back(
+    is_back: bool, answers: bool
+) -> None:
     """Guards against searches that wait for a target that is not there.
 
     Pattern: a power loss after targets were drained and taken away; their
     agents start again beside nothing.
     """
     cluster = FlowCluster(balancers=1, agents=3)
-    _open_flows(cluster, 6)
+    _open_flows(cluster, 15)
+    # Heartbeats have just been sent; the next ones come 1.2 s later.
+    cluster.advance(HEARTBEAT_MS - cluster.clock.now_ms() % HEARTBEAT_MS)
     target = _lose_power(cluster, lost=2)
     # If it is back, only its agent has restarted, as in planned work.
     target.is_up = is_back
+    target.answers = answers
     cluster.advance(100)
-    for _ in range(6):
-        for number in range(6):
+    for _ in range(5):
+        for number in range(15):
             if not cluster.is_reset(flow_key(number)):
                 cluster.request(flow_key(number), b'next')
         cluster.advance(200)
-    for number in range(6):
+    for number in range(15):
         is_held = is_back and flow_key(number) in target.flows
         assert cluster.is_reset(flow_key(number)) != is_held
