--- a/standins/metadata_server.py
+++ b/standins/metadata_server.py
@@ -35,7 +35,6 @@
         self.mode = 'up'
         #: Hosts that are turned away while others are served.
         self.refused: set[str] = set()
-        self.calls = 0
 
     @property
     def port(self) -> int:
@@ -59,7 +58,6 @@
     def _serve(
         self, environment: dict[str, Any], start: _Start
     ) -> Iterable[bytes]:
-        self.calls += 1
         host = environment['REMOTE_ADDR']
         if self.mode == 'silent':
             gevent.sleep(_SILENCE_S)
