Give up agents that are gone, and spare targets that refuse flows

Change: an agent that was silent for 4 s, or 10 s if it has announced that it returns, is gone: searches do not wait for it, and a balancer seeks the flows that it held anew. Three refusals of opening packets within 2 s make an agent rest.

test_silent_agent_proves_nothing (3.1 s of silence) stays as it is; 4 s is also the time after which the users do not count a node as in touch.

Tests: test_flows_of_an_agent_that_is_gone (both cases), and test_agent_beside_a_target_that_refuses_everything fail before; test_agent_that_returns_is_waited_for guards the other side.

--- a/anvilthread/flow_node/flow_process.py
+++ b/anvilthread/flow_node/flow_process.py
@@ -296,7 +296,7 @@
         if isinstance(message, Leaving):
             node = self.roster.hear(message.node)
             if node is not None:
-                node.leave()
+                node.leave(returns=message.returns)
                 self.log.event('node_leaving', host=host)
             return True
         if isinstance(message, Place | Refused):
--- a/anvilthread/flows/flow_agent.py
+++ b/anvilthread/flows/flow_agent.py
@@ -319,6 +319,7 @@
         if not balancer:
             self._counters.add('bounced_without_balancer')
         elif original.opens:
+            self._condition.health.note_failure('opening_refused')
             self._refuse(balancer, original, 'target_full')
         else:
             self._network.send_node(balancer, NotHeld(key=original.key))
--- a/anvilthread/flows/flow_balancer.py
+++ b/anvilthread/flows/flow_balancer.py
@@ -263,6 +263,12 @@
             self._flows.pop(packet.key)
             self._reset(packet.key, packet.acknowledged, 'route_removed')
             return
+        if self._finder.is_gone(flow.agent):
+            # If the agent comes back, the search finds it.
+            self._flows.pop(packet.key)
+            self._event('agent_gone', packet.key, agent=flow.agent)
+            self._find(packet)
+            return
         flow.used_ms = self._clock.now_ms()
         if packet.is_fin or packet.is_reset:
             flow.is_closing = True
--- a/anvilthread/flows/holder_search.py
+++ b/anvilthread/flows/holder_search.py
@@ -131,7 +131,11 @@
             return
         own = self._roster.own
         now_ms = self._clock.now_ms()
-        others = self._roster.agents(own.service)
+        others = [
+            node
+            for node in self._roster.agents(own.service)
+            if not node.is_gone(now_ms)
+        ]
         asked = [node.host for node in others if _answers(node, now_ms)]
         search = FlowSearch(
             balancer=balancer,
--- a/anvilthread/flows/known_node.py
+++ b/anvilthread/flows/known_node.py
@@ -15,6 +15,16 @@
 #: Periods without a report after which a peer is taken for silent.
 _LOST_REPORTS: Final = 4.5
 
+#: A node that was silent for this long is gone: longer than the restart of a
+#: killed process takes (2 s), and the time after which the users no longer
+#: count a node as in touch (4 to 5 s).
+_GONE_MS: Final = 4000
+
+#: The same for a node that has told that it will return with its flows: a
+#: restart by request, with the longest time that the platform leaves a
+#: process to stop (6 s).
+_RETURN_MS: Final = 10_000
+
 #: Weights of the requests at work now and of their recent mean. Equal weights
 #: since either alone misleads: the count is old by up to a report period, and
 #: the mean is slow to show a new queue.
@@ -38,6 +48,7 @@
         '_record',
         '_report',
         '_reported_ms',
+        '_returns',
         '_sends',
     )
 
@@ -46,6 +57,7 @@
         self._heard_ms = heard_ms
         self._introductions = 0
         self._is_leaving = False
+        self._returns = False
         self._report: LoadReport | None = None
         self._reported_ms = 0
         self._sends = 0
@@ -127,9 +139,21 @@
         """Counts an introduction sent to the peer."""
         self._introductions += 1
 
-    def leave(self) -> None:
-        """Notes that the peer is stopping."""
+    def is_gone(self, now_ms: int) -> bool:
+        """Whether the peer was silent for too long to come back with flows."""
+        if self._heard_ms is None:
+            return False
+        limit_ms = _RETURN_MS if self._returns else _GONE_MS
+        return now_ms - self._heard_ms > limit_ms
+
+    def leave(self, *, returns: bool) -> None:
+        """Notes that the peer is stopping.
+
+        Args:
+            returns: Whether its target keeps its flows meanwhile.
+        """
         self._is_leaving = True
+        self._returns = returns
 
     def take(self, report: LoadReport, now_ms: int) -> None:
         """Takes a report over, unless it is older than the last one."""
--- a/anvilthread/flows/rendezvous_finder.py
+++ b/anvilthread/flows/rendezvous_finder.py
@@ -58,9 +58,17 @@
         )
         return None if best is None else best.host
 
+    def is_gone(self, host: str) -> bool:
+        """Whether an agent has been silent for too long to hold flows."""
+        node = self._roster.get(host)
+        return node is None or node.is_gone(self._clock.now_ms())
+
     def _heard(self, service: str) -> list[KnownNode]:
+        now_ms = self._clock.now_ms()
         return [
             node
             for node in self._roster.agents(service)
-            if node.heard_ms is not None and not node.is_leaving
+            if node.heard_ms is not None
+            and not node.is_leaving
+            and not node.is_gone(now_ms)
         ]
--- a/standins/flow_cluster.py
+++ b/standins/flow_cluster.py
@@ -141,7 +141,7 @@
         elif isinstance(message, Leaving):
             node = self.roster.hear(message.node)
             if node is not None:
-                node.leave()
+                node.leave(returns=message.returns)
         else:
             self._handlers[type(message)](host, message)
 
--- a/tests/flows/test_flows.py
+++ b/tests/flows/test_flows.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from anvilthread.flows.node_messages import Leaving
 from anvilthread.flows.search_messages import Held
 from standins.flow_cluster import (
     HEARTBEAT_MS,
@@ -406,6 +407,53 @@
     assert agent.condition.health.is_failing == is_dead
 
 
+@pytest.mark.parametrize('other_balancer', [False, True])
+def test_flows_of_an_agent_that_is_gone(other_balancer: bool) -> None:
+    """Guards against clients that wait for a VM that was taken away.
+
+    Pattern: a service is scaled in, and VMs vanish without a word.
+    """
+    cluster = FlowCluster(balancers=2, agents=3)
+    _open_flows(cluster, 12)
+    gone = cluster.agents[0]
+    assert gone.target is not None
+    lost = set(gone.target.flows)
+    gone.is_up = False
+    gone.target.crash()
+    cluster.advance(4200)
+    balancer = cluster.balancers[int(other_balancer)]
+    for number in range(12):
+        cluster.request(flow_key(number), b'next', balancer)
+    cluster.advance(50)
+    for number in range(12):
+        key = flow_key(number)
+        assert cluster.is_reset(key) == (key in lost)
+        assert len(cluster.bodies(key)) == 1 + (key not in lost)
+
+
+def test_agent_that_returns_is_waited_for() -> None:
+    """Guards against resets while an agent restarts by request."""
+    cluster = FlowCluster(balancers=2, agents=3)
+    _open_flows(cluster, 12)
+    leaving = cluster.agents[0]
+    for host in cluster.nodes:
+        leaving.send_node(host, Leaving(node=leaving.record, returns=True))
+    cluster.advance(5)
+    leaving.is_up = False
+    cluster.advance(6000)
+    for number in range(12):
+        cluster.request(flow_key(number), b'next', cluster.balancers[1])
+    cluster.advance(100)
+    assert not any(cluster.is_reset(flow_key(it)) for it in range(12))
+    cluster.add_agent(0)
+    cluster.advance(300)
+    for number in range(12):
+        cluster.request(flow_key(number), b'last', cluster.balancers[1])
+    cluster.advance(100)
+    for number in range(12):
+        assert cluster.bodies(flow_key(number))[-1].endswith(b'last')
+
+
 def _lose_power(cluster: FlowCluster, lost: int) -> FlowTarget:
     """Restarts all processes and targets, but for one target."""
     balancers, agents = len(cluster.balancers), len(cluster.agents)
--- a/tests/flows/test_outlier_patterns.py
+++ b/tests/flows/test_outlier_patterns.py
@@ -82,3 +82,24 @@
     ]
     # Ten in sixty is the equal share; the target is noticed within 0.2 s.
     assert len(placed) <= 6
+
+
+def test_agent_beside_a_target_that_refuses_everything() -> None:
+    """Guards against an idle agent that draws all flows and refuses them.
+
+    Pattern: after a power loss, VMs whose targets were taken away come back
+    for some seconds, and what is left of their targets refuses every flow.
+    """
+    cluster = FlowCluster(balancers=2, agents=_AGENTS)
+    refusing = cluster.targets[:2]
+    for target in refusing:
+        target.max_flows = 0
+    for number in range(200):
+        key = flow_key(number)
+        cluster.open(key, cluster.balancers[number % 2])
+        cluster.advance(5)
+        cluster.request(key, b'request', cluster.balancers[number % 2])
+    refused = sum(len(target.bounced) for target in refusing)
+    # Without rests, the idle ones are asked first for nearly every flow.
+    assert refused <= 20
+    assert sum(len(target.flows) for target in cluster.targets) == 200
