Forward to a holder that is not known by a report yet

Read in the code of the previous commit: a balancer took an agent that it had not heard for gone, so after its restart each packet of a found flow would have started a search among all agents until the first report.

Test: test_holder_that_is_not_known_yet fails without the change.

--- a/anvilthread/flows/rendezvous_finder.py
+++ b/anvilthread/flows/rendezvous_finder.py
@@ -61,7 +61,8 @@
     def is_gone(self, host: str) -> bool:
         """Whether an agent has been silent for too long to hold flows."""
         node = self._roster.get(host)
-        return node is None or node.is_gone(self._clock.now_ms())
+        # An agent may tell of a flow before its first report has arrived.
+        return node is not None and node.is_gone(self._clock.now_ms())
 
     def _heard(self, service: str) -> list[KnownNode]:
         now_ms = self._clock.now_ms()
--- a/tests/flows/test_flows.py
+++ b/tests/flows/test_flows.py
@@ -431,6 +431,23 @@
         assert len(cluster.bodies(key)) == 1 + (key not in lost)
 
 
+def test_holder_that_is_not_known_yet() -> None:
+    """Guards against a search for each packet after a balancer's restart."""
+    cluster = FlowCluster(balancers=1, agents=3)
+    _open_flows(cluster, 3)
+    cluster.cuts = {(node.record.host, '10.0.0.9') for node in cluster.agents}
+    balancer = cluster.add_balancer(8)
+    holder = cluster.holder(flow_key(1))
+    host = next(it.record.host for it in cluster.agents if it.target is holder)
+    assert balancer.balancer is not None
+    balancer.balancer.on_held(host, Held(key=flow_key(1), service=SERVICE))
+    for _ in range(5):
+        cluster.request(flow_key(1), b'next', balancer)
+    cluster.advance(10)
+    assert len(cluster.bodies(flow_key(1))) == 6
+    assert not balancer.log.named('holder_sought')
+
+
 def test_agent_that_returns_is_waited_for() -> None:
     """Guards against resets while an agent restarts by request."""
     cluster = FlowCluster(balancers=2, agents=3)
