Settle an offer one tick after its time, not at once

An agent that stood still settled offers before it had read what its target had returned meanwhile, and could claim a flow that another target holds. The first remedy, new waiting after each pause, would never have settled offers on a VM so busy that its ticks come late. Now an offer is settled at the tick after the one that found it overdue, by when the sockets have been read.

Test: test_offer_of_an_agent_that_stood_still fails if offers are settled at once.

--- a/anvilthread/flows/holder_search.py
+++ b/anvilthread/flows/holder_search.py
@@ -37,10 +37,6 @@
 _MISSING_OFFERS: Final = 5
 _MISSING_MS: Final = 500
 
-#: After a pause this long, what the target has returned may be unread still.
-#: Ticks come every 20 ms.
-_PAUSE_MS: Final = 60
-
 _MAX_MARK: Final = 0xFFFFFFFF
 
 #: Takes a flow over that the target turned out to hold, for a balancer.
@@ -76,7 +72,6 @@
         '_roster',
         '_searches',
         '_target',
-        '_ticked_ms',
         '_unanswered',
     )
 
@@ -103,7 +98,6 @@
         self._searches: dict[FlowKey, FlowSearch] = {}
         self._offers: dict[int, Offer] = {}
         self._marks = itertools.count(1)
-        self._ticked_ms = clock.now_ms()
         #: Time of the first offer of each flow that the target, not heard
         #: so far, has not returned.
         self._unanswered: dict[FlowKey, int] = {}
@@ -214,16 +208,16 @@
     def tick(self) -> None:
         """Ends offers and searches that are over."""
         now_ms = self._clock.now_ms()
-        pause_ms = now_ms - self._ticked_ms
-        self._ticked_ms = now_ms
         for mark, offer in list(self._offers.items()):
-            if pause_ms > _PAUSE_MS:
-                self._offers[mark] = msgspec.structs.replace(
-                    offer, started_ms=now_ms
-                )
-            elif now_ms - offer.started_ms > _OFFER_MS:
+            if now_ms - offer.started_ms <= _OFFER_MS:
+                continue
+            if offer.is_due:
                 self._offers.pop(mark)
                 self._settle(offer)
+            else:
+                # After a pause of the process, what the target has returned
+                # is read between this tick and the next one.
+                self._offers[mark] = msgspec.structs.replace(offer, is_due=True)
         for key, search in list(self._searches.items()):
             if now_ms - search.started_ms > _SEARCH_MS:
                 self._searches.pop(key)
--- a/anvilthread/flows/offer.py
+++ b/anvilthread/flows/offer.py
@@ -15,6 +15,7 @@
         started_ms: Time of the offer.
         is_heard: Whether the target had shown life before the offer. What a
             target that is yet to start does not return, it does not hold.
+        is_due: Whether the time for an answer had passed at the last tick.
     """
 
     key: FlowKey
@@ -22,3 +23,4 @@
     balancer: str
     started_ms: int
     is_heard: bool
+    is_due: bool = False
--- a/tests/flows/test_flows.py
+++ b/tests/flows/test_flows.py
@@ -471,6 +471,28 @@
         assert cluster.bodies(flow_key(number))[-1].endswith(b'last')
 
 
+def test_offer_of_an_agent_that_stood_still() -> None:
+    """Guards against a claim while the target's answer waits to be read."""
+    cluster = FlowCluster(balancers=2, agents=2)
+    _open_flows(cluster, 6)
+    for number in range(2):
+        cluster.add_agent(number)
+    cluster.advance(100)
+    for number in range(6):
+        cluster.request(flow_key(number), b'next', cluster.balancers[1])
+    # Offers are on their way to the targets.
+    cluster.advance(3)
+    cluster.clock.advance(500)
+    for node in cluster.agents:
+        assert node.agent is not None
+        node.agent.tick()
+    cluster.advance(200)
+    for number in range(6):
+        assert cluster.bodies(flow_key(number))[-1].endswith(b'next')
+    events = [it.log.named('flow_held_twice') for it in cluster.balancers]
+    assert not any(events)
+
+
 def _lose_power(cluster: FlowCluster, lost: int) -> FlowTarget:
     """Restarts all processes and targets, but for one target."""
     balancers, agents = len(cluster.balancers), len(cluster.agents)
