Wait for other agents after the first refusals of a new balancer

Cause: after a power loss, the first agent that a balancer hears may stand beside a target that refuses everything.

Change: within 0.8 s of its start, a balancer keeps a refused flow for the next agents that report, as it does when it knows none; four refusals still end it, and so does the end of the client's attempt.

Test: test_refusal_of_the_first_agent_heard fails without the change; test_full_targets, where every target refuses, stays as it is.

--- a/anvilthread/flows/flow_balancer.py
+++ b/anvilthread/flows/flow_balancer.py
@@ -196,22 +196,37 @@
         flow.opening = packet.content
         if self._place(flow):
             return
-        if self._finder.is_settled:
-            self._flows.pop(packet.key)
-            self._reset(packet.key, packet.acknowledged, 'no_agent')
-        else:
-            # This process has just started: the agents are yet to be heard.
-            self._opening.append((now_ms, packet.key))
+        self._reject(
+            packet, flow, 'no_agent', waits=not self._finder.is_settled
+        )
 
     def _place_again(
         self, packet: FlowPacket, flow: BalancerFlow, reason: str
     ) -> None:
         flow.tried.add(flow.agent)
         flow.opening = packet.content
-        if len(flow.tried) < _MAX_TRIES and self._place(flow):
+        has_tries = len(flow.tried) < _MAX_TRIES
+        if has_tries and self._place(flow):
             return
-        self._flows.pop(flow.key)
-        self._reset(flow.key, packet.acknowledged, reason)
+        waits = has_tries and self._finder.is_new
+        self._reject(packet, flow, reason, waits=waits)
+
+    def _reject(
+        self,
+        packet: FlowPacket,
+        flow: BalancerFlow,
+        reason: str,
+        *,
+        waits: bool,
+    ) -> None:
+        """Resets a flow for which there is no agent, or waits for one."""
+        if waits:
+            # This process has just started: other agents are yet to be heard.
+            flow.agent = ''
+            self._opening.append((self._clock.now_ms(), flow.key))
+        else:
+            self._flows.pop(flow.key)
+            self._reset(flow.key, packet.acknowledged, reason)
 
     def _place(self, flow: BalancerFlow) -> bool:
         now_ms = self._clock.now_ms()
--- a/anvilthread/flows/rendezvous_finder.py
+++ b/anvilthread/flows/rendezvous_finder.py
@@ -12,6 +12,10 @@
 #: A node that started this recently may not know all agents yet.
 _SETTLING_MS: Final = 3000
 
+#: Agents report to a balancer as soon as they have heard it; after a common
+#: start, the first flows are placed 0.2 s after the start of a process.
+_NEW_MS: Final = 800
+
 
 class RendezvousFinder:
     """Gives every balancer the same agent for a flow, while views agree.
@@ -33,6 +37,11 @@
         """Whether this node has had the time to hear from all agents."""
         return self._clock.now_ms() - self._started_ms > _SETTLING_MS
 
+    @property
+    def is_new(self) -> bool:
+        """Whether most agents may be yet to be heard."""
+        return self._clock.now_ms() - self._started_ms <= _NEW_MS
+
     def count(self, service: str) -> int:
         """Returns the number of agents of a service that were heard."""
         return len(self._heard(service))
--- a/tests/flows/test_flows.py
+++ b/tests/flows/test_flows.py
@@ -282,6 +282,28 @@
     assert cluster.holder(flow_key(1)) is not None
 
 
+def test_refusal_of_the_first_agent_heard() -> None:
+    """Guards against a reset while other agents are yet to be heard.
+
+    Pattern: after a power loss, the first agent that a balancer hears stands
+    beside a target that refuses everything.
+    """
+    cluster = FlowCluster(balancers=1, agents=0)
+    cluster.add_balancer(0)
+    first = cluster.add_agent(0)
+    assert first.target is not None
+    first.target.max_flows = 0
+    cluster.advance(120)
+    cluster.open(flow_key(1))
+    cluster.advance(20)
+    assert first.target.bounced
+    assert not cluster.packets(flow_key(1))
+    cluster.add_agent(1)
+    cluster.advance(150)
+    assert cluster.holder(flow_key(1)) is not None
+    assert not cluster.is_reset(flow_key(1))
+
+
 @pytest.mark.parametrize('is_told', [True, False])
 def test_restarted_agent_without_heartbeat_denies_nothing(
     is_told: bool,
