Excuse a connection whose handshake a busy client notes after a kill

The trace has agent-2 killed at 952,626, the three opened at 952,668 to 952,670 at a client process on the busy machine, closed between 954,030 and 954,250, and no later start of agent-2.

Ruled out: a break through planned work; no other node had stopped.

Change: a kill excuses a connection that was noted after it, if the trace has the starts of that node and none lies between kill and opening.

--- a/anvilthread/reports/guarantees/connections_kept.py
+++ b/anvilthread/reports/guarantees/connections_kept.py
@@ -9,7 +9,7 @@
     ConnectionOpened,
 )
 from anvilthread.reports.guarantees.violation import Violation
-from anvilthread.reports.node_events import NodeStopped
+from anvilthread.reports.node_events import NodeStarted, NodeStopped
 from anvilthread.reports.trace import Trace
 
 
@@ -32,14 +32,15 @@
             line.event.connection: line.event.ts_ms
             for line in trace.only(ConnectionOpened)
         }
+        starts = _starts(trace)
         for line in trace.only(ConnectionClosed):
             closed = line.event
             if not closed.reason.is_broken:
                 continue
             start_ms = opened_ms.get(closed.connection, 0)
-            # A process started after a kill may reuse the name of its node.
             is_excused = any(
-                start_ms <= killed_ms <= closed.ts_ms
+                killed_ms <= closed.ts_ms
+                and _was_alive(start_ms, killed_ms, starts[closed.node])
                 for killed_ms in kills[closed.node]
             )
             if not is_excused:
@@ -50,6 +51,26 @@
                 )
 
 
+def _was_alive(start_ms: int, killed_ms: int, starts: list[int]) -> bool:
+    """Whether a connection belongs to the process that was killed.
+
+    A busy client may note the end of a handshake after the kill. A process
+    that has started since may reuse the name of the node; without starts in
+    the trace, nothing is known of that.
+    """
+    if start_ms <= killed_ms:
+        return True
+    has_restarted = any(killed_ms < started <= start_ms for started in starts)
+    return bool(starts) and not has_restarted
+
+
+def _starts(trace: Trace) -> dict[str, list[int]]:
+    starts = defaultdict[str, list[int]](list)
+    for line in trace.only(NodeStarted):
+        starts[line.event.node].append(line.event.ts_ms)
+    return starts
+
+
 def _kills(trace: Trace) -> dict[str, list[int]]:
     kills = defaultdict[str, list[int]](list)
     for line in trace.only(NodeStopped):
