Mend the two traced known failures, and keep the logs of every soak

Cause 1: the client stand-in counted its ports past 65535 when a cluster resets every opening packet without a pause (66,223 openings in 15.6 s). It now starts again at 1024 and leaves out ports in use. Cause 2: test_nodes_survive_any_change failed beside 16 to 30 busy processes by hypothesis's deadline of 200 ms wall time alone; its assertions held. The deadline is off; examples, seed and assertions are as they were. What the deadline guarded against, claims whose handling is expensive, is checked by test_odd_changes_cause_little_work: the traffic that docs/CAPACITY.md allows a node, in virtual time. The third entry (ignore_draining) is not traced. Its logs were lost since a later run of the same seed replaced them; each run now keeps its own.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -242,7 +242,10 @@
 
     def _keep_logs(self) -> None:
         """Copies the logs to run/."""
-        destination = ROOT / 'run' / f'soak-{self._seed}'
+        runs = ROOT / 'run'
+        runs.mkdir(exist_ok=True)
+        # A later run of the same seed must not replace the logs.
+        destination = tempfile.mkdtemp(prefix=f'soak-{self._seed}-', dir=runs)
         shutil.copytree(self._directory.name, destination, dirs_exist_ok=True)
 
     def _find_holder(self, client: tuple[str, int]) -> PlatformTarget | None:
--- a/standins/platform_client.py
+++ b/standins/platform_client.py
@@ -21,6 +21,10 @@
 
 #: Time-out of each copy of the opening packet.
 _OPENING_TIMEOUTS_S: Final = (0.2, 0.4, 0.8)
+#: Ports of flows; the first ones are used again after the last one.
+_FIRST_PORT: Final = 1024
+_LAST_PORT: Final = 65_535
+
 _INITIAL_RETRANSMIT_S: Final = 0.2
 _ANSWER_TIMEOUT_S: Final = 4.0
 
@@ -91,7 +95,7 @@
         self._router = router
         self._observer = observer
         self._random = random
-        self._ports = itertools.count(1024)
+        self._ports = itertools.cycle(range(_FIRST_PORT, _LAST_PORT + 1))
         self._flows_by_port: dict[int, ClientFlow] = {}
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((host, port))
@@ -99,7 +103,7 @@
 
     def open(self, service_endpoint: tuple[str, int]) -> ClientFlow | None:
         """Opens a flow; None if it is reset or not confirmed in time."""
-        port = next(self._ports)
+        port = self._next_free_port()
         flow = ClientFlow(
             client_endpoint=(self._host, port),
             service_endpoint=service_endpoint,
@@ -144,6 +148,21 @@
             self._send(flow, FIN | ACK, b'')
         self._flows_by_port.pop(flow.client_endpoint[1], None)
 
+    def handle(self, packet: PlatformPacket) -> None:
+        """Handles an unaltered packet or a reset."""
+        flow = self._flows_by_port.get(packet.destination[1])
+        if flow is None:
+            return
+        if packet.flags & RESET:
+            self._handle_reset(flow)
+        else:
+            self._handle_packet(flow, packet)
+
+    def _next_free_port(self) -> int:
+        return next(
+            port for port in self._ports if port not in self._flows_by_port
+        )
+
     def _send(
         self,
         flow: ClientFlow,
@@ -169,14 +188,9 @@
         while True:
             content, _ = self._socket.recvfrom(2048)
             packet, is_intact = read_packet(content)
-            flow = self._flows_by_port.get(packet.destination[1])
-            if flow is None:
-                continue
-            if packet.flags & RESET:
-                self._handle_reset(flow)
-            elif is_intact:
-                self._handle_packet(flow, packet)
-            else:
+            if is_intact or packet.flags & RESET:
+                self.handle(packet)
+            elif packet.destination[1] in self._flows_by_port:
                 self._observer.on_altered_packet(self._host)
 
     def _handle_reset(self, flow: ClientFlow) -> None:
--- a/tests/membership/test_messages.py
+++ b/tests/membership/test_messages.py
@@ -13,6 +13,11 @@
 from standins.membership_cluster import MembershipCluster, address_of
 
 _STRANGER = Address(host='192.0.2.9', port=9)
+
+#: Probes, changes and answers to digests that a node may send per second.
+_MAX_BYTES_PER_S = 796 + 2048 + 4096
+_OBSERVED_MS = 1500
+
 _EXAMPLES = settings(max_examples=300, derandomize=True, database=None)
 _NUMBERS = st.integers(min_value=0, max_value=1 << 40)
 _CHANGES = st.builds(
@@ -45,7 +50,7 @@
         assert len(record.member().site) <= 64
 
 
-@settings(max_examples=60, derandomize=True, database=None)
+@settings(max_examples=60, derandomize=True, database=None, deadline=None)
 @given(changes=st.lists(_CHANGES, max_size=4))
 def test_nodes_survive_any_change(changes: list[Change]) -> None:
     """Guards against odd claims that stop a node or kill another."""
@@ -62,6 +67,26 @@
     cluster.stop()
 
 
+@settings(max_examples=60, derandomize=True, database=None, deadline=None)
+@given(changes=st.lists(_CHANGES, min_size=1, max_size=4))
+def test_odd_changes_cause_little_work(changes: list[Change]) -> None:
+    """Guards against claims whose handling floods the members or takes long.
+
+    The bound is the traffic that docs/CAPACITY.md allows a node at any time,
+    so the verdict does not depend on the speed of the machine.
+    """
+    cluster = MembershipCluster(seed=1)
+    cluster.add_all(3, settle_ms=500)
+    stray = cluster.network.transport(_STRANGER)
+    ping = Ping(sequence=1, changes=tuple(changes))
+    before = cluster.network.bytes_sent
+    stray.send(address_of(0), msgspec.msgpack.encode(ping))
+    cluster.clock.advance(_OBSERVED_MS)
+    sent = cluster.network.bytes_sent - before
+    assert sent <= len(cluster.nodes) * _MAX_BYTES_PER_S * _OBSERVED_MS / 1000
+    cluster.stop()
+
+
 def test_answers_count_only_from_the_member_asked() -> None:
     """Guards against forged answers that keep a killed member alive."""
     cluster = MembershipCluster(seed=2)
