--- a/anvilthread/flow_node/agent_process.py
+++ b/anvilthread/flow_node/agent_process.py
@@ -12,10 +12,7 @@
 from anvilthread.flows.known_node import KnownNode
 from anvilthread.flows.node_directory import NodeDirectory
 from anvilthread.flows.node_record import NodeRole
-from anvilthread.flows.report_period import (
-    agent_period_ms,
-    balancer_period_ms,
-)
+from anvilthread.flows.report_period import balancer_period_ms
 from anvilthread.flows.target_watch import Heartbeat, TargetWatch
 
 if TYPE_CHECKING:
@@ -117,7 +114,6 @@
         self.process.roster.subscribe(self._report_to_new_balancer)
         self.process.run_periodically(_TICK_MS, self._tick)
         gevent.spawn(self._report_to_balancers)
-        gevent.spawn(self._report_to_agents)
         self.process.run_periodically(_SWEEP_MS, self._agent.condition.sweep)
 
     def wait(self) -> None:
@@ -126,7 +122,7 @@
         process.stop_requested.wait()
         self._agent.condition.stop()
         process.log.event('process_stopping', flows=len(self._agent.flows))
-        process.leave(returns=not self._target.is_draining)
+        process.leave(returns=not self._target.has_departed)
         started_ms = process.clock.now_ms()
         while self._agent.flows.meter.working:
             if process.clock.now_ms() - started_ms > _FINISH_TIMEOUT_MS:
@@ -142,19 +138,19 @@
         accepted = self._agent.condition.accepts
         self._agent.on_heartbeat(heartbeat)
         if self._agent.condition.accepts != accepted:
-            self._report_to_all()
+            self._report_to_all_balancers()
 
     def on_departure(self, target: str) -> None:
         """Handles the notice that the target has stopped."""
         if self._agent.on_departure(target):
-            self._report_to_all()
+            self._report_to_all_balancers()
 
     def _tick(self) -> None:
         self._agent.tick()
         is_failing = self._agent.condition.health.is_failing
         if is_failing != self._was_failing:
             self._was_failing = is_failing
-            self._report_to_all()
+            self._report_to_all_balancers()
 
     def _report_to_balancers(self) -> None:
         process = self.process
@@ -172,19 +168,7 @@
                     process.network.send_to_node(node.host, report)
             process.clock.sleep_ms(period_ms)
 
-    def _report_to_agents(self) -> None:
-        """Reports to the agents of the service, which search for flows."""
-        process = self.process
-        service = process.settings.service
-        while True:
-            agents = process.roster.agents(service)
-            period_ms = agent_period_ms(len(agents) + 1)
-            report = self._agent.condition.report(period_ms)
-            for node in agents:
-                process.network.send_to_node(node.host, report)
-            process.clock.sleep_ms(period_ms)
-
-    def _report_to_all(self) -> None:
+    def _report_to_all_balancers(self) -> None:
         report = self._agent.condition.report(_EVENT_REPORT_PERIOD_MS)
-        for node in self.process.roster.nodes:
+        for node in self.process.roster.balancers():
             self.process.network.send_to_node(node.host, report)
--- a/anvilthread/flow_node/balancer_process.py
+++ b/anvilthread/flow_node/balancer_process.py
@@ -5,11 +5,11 @@
 from anvilthread.flow_node.flow_node_settings import FlowNodeSettings
 from anvilthread.flow_node.flow_process import FlowProcess
 from anvilthread.flows.configuration_source import ConfigurationSource
+from anvilthread.flows.fleet_view import FleetView
 from anvilthread.flows.flow_balancer import FlowBalancer
 from anvilthread.flows.flow_packet_codec import FlowPacketCodec
 from anvilthread.flows.flow_placement import FlowPlacement
 from anvilthread.flows.node_directory import NodeDirectory
-from anvilthread.flows.rendezvous_finder import RendezvousFinder
 
 if TYPE_CHECKING:
     from anvilthread.flow_node.flow_metrics import FlowMetrics
@@ -46,12 +46,8 @@
             network=process.network,
             codec=codec,
             routes=process.routes,
-            placement=FlowPlacement(
-                clock=process.clock,
-                random=process.random,
-                roster=process.roster,
-            ),
-            finder=RendezvousFinder(clock=process.clock, roster=process.roster),
+            placement=FlowPlacement(clock=process.clock, roster=process.roster),
+            fleet=FleetView(clock=process.clock, roster=process.roster),
             log=process.log,
             counters=process.counters,
         )
@@ -67,6 +63,7 @@
             latencies={'anvilthread_placement_seconds': balancer.latencies},
             gauges={
                 'anvilthread_flows': lambda: balancer.flow_count,
+                'anvilthread_searches': lambda: balancer.search.open_searches,
                 **self.process.gauges(),
             },
         )
@@ -79,6 +76,7 @@
         self.process.serve_packets(
             self._codec.from_client, self._balancer.on_packet
         )
+        self.process.roster.subscribe(self._balancer.search.on_node_started)
         self.process.run_periodically(_TICK_MS, self._balancer.tick)
 
     def wait(self) -> None:
--- a/anvilthread/flows/agent_condition.py
+++ b/anvilthread/flows/agent_condition.py
@@ -51,6 +51,7 @@
         '_pending_openings',
         '_routes',
         '_sequence',
+        '_started_ms',
         '_target',
         '_unanswered_openings',
     )
@@ -72,7 +73,8 @@
         self._target = target
         self._health = TargetHealth(clock=clock, log=log)
         self._pending_openings: deque[tuple[int, int, FlowKey]] = deque()
-        self._last_tick_ms = clock.now_ms()
+        self._started_ms = clock.now_ms()
+        self._last_tick_ms = self._started_ms
         self._active_ms = 0
         self._unanswered_openings: list[int] = []
         self._sequence = 0
@@ -120,6 +122,7 @@
             version=self._routes.table.version,
             check_age_ms=self._routes.check_age_ms,
             is_failing=self._health.is_failing,
+            uptime_ms=self._clock.now_ms() - self._started_ms,
         )
 
     def record_opening(self, key: FlowKey) -> None:
--- /dev/null
+++ b/anvilthread/flows/fleet_view.py
@@ -0,0 +1,140 @@
+"""What a balancer may conclude from its roster."""
+
+from typing import Final
+
+from anvilthread.clock import Clock
+from anvilthread.flows.agent_ranking import rank_agents
+from anvilthread.flows.flow_key import FlowKey
+from anvilthread.flows.known_node import KnownNode
+from anvilthread.flows.roster import Roster
+
+#: Time after its start within which a node may not know all agents.
+_SETTLING_MS: Final = 3000
+
+#: Time after its start within which a node may know few agents. Agents report
+#: to a balancer at its first hello; after a common start, the first flows are
+#: placed 0.2 s after the start of a process.
+_STARTUP_MS: Final = 800
+
+#: Pause between two ticks after which the view counts as new. Messages that
+#: arrived meanwhile are read only after the tick.
+_MAX_PAUSE_MS: Final = 1000
+
+#: Maximum time between the starts of this node and of an agent at which both
+#: count as started together, as after a loss of power.
+_COMMON_START_MS: Final = 1500
+
+
+class FleetView:
+    """Interprets the roster of a balancer: who may hold a flow, who is gone.
+
+    Args:
+        clock: Source of time.
+        roster: The nodes and their reports.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_last_tick_ms',
+        '_roster',
+        '_started_ms',
+        '_started_with_others',
+    )
+
+    def __init__(self, *, clock: Clock, roster: Roster) -> None:
+        self._clock = clock
+        self._roster = roster
+        self._started_ms = clock.now_ms()
+        self._last_tick_ms = self._started_ms
+        self._started_with_others = False
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether this node has run long enough to know all agents."""
+        return self._uptime_ms > _SETTLING_MS
+
+    @property
+    def is_starting(self) -> bool:
+        """Whether most agents may still be unknown."""
+        return self._uptime_ms <= _STARTUP_MS
+
+    @property
+    def possible_holders(self) -> list[KnownNode]:
+        """Agents of all services whose targets may hold any open flow."""
+        now_ms = self._clock.now_ms()
+        return [
+            node
+            for node in self._roster.all_agents()
+            if node.may_hold_flows(now_ms)
+        ]
+
+    @property
+    def knows_agents(self) -> bool:
+        """Whether this node knows the agents that may hold an open flow.
+
+        A node that has started alone knows them once it has settled. If most
+        agents have started together with it, no client should wait for an
+        agent that is still unknown.
+        """
+        return self.is_settled or self._started_with_others
+
+    @property
+    def proves_absence(self) -> bool:
+        """Whether a flow that all possible holders deny is known to be lost.
+
+        A node that hears less than half of the agents may itself be cut off.
+        """
+        if self.is_starting or not self.knows_agents:
+            return False
+        now_ms = self._clock.now_ms()
+        agents = self._roster.all_agents()
+        heard = sum(node.is_fresh(now_ms) for node in agents)
+        return heard * 2 >= max(len(agents), 1)
+
+    def candidates(self, service: str, key: FlowKey) -> list[KnownNode]:
+        """Returns the agents of a service that may hold a flow, by rank."""
+        return rank_agents(
+            key,
+            [
+                node
+                for node in self.possible_holders
+                if node.record.service == service
+            ],
+        )
+
+    @property
+    def services(self) -> list[str]:
+        """Returns the services of all agents."""
+        return sorted({node.record.service for node in self.possible_holders})
+
+    def is_gone(self, host: str) -> bool:
+        """Whether an agent has been silent for too long to hold flows."""
+        node = self._roster.get(host)
+        # An agent may confirm a flow before its first report has arrived.
+        return node is not None and node.is_gone(self._clock.now_ms())
+
+    def tick(self) -> None:
+        """Updates the view, and treats it as new after a pause."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._last_tick_ms > _MAX_PAUSE_MS:
+            self._started_ms = now_ms
+        self._last_tick_ms = now_ms
+        self._started_with_others = self._has_common_start(now_ms)
+
+    @property
+    def _uptime_ms(self) -> int:
+        return self._clock.now_ms() - self._started_ms
+
+    def _has_common_start(self, now_ms: int) -> bool:
+        """Whether most agents have started together with this node."""
+        if self.is_settled:
+            return False
+        uptime_ms = self._uptime_ms
+        heard = [
+            node for node in self._roster.all_agents() if node.is_fresh(now_ms)
+        ]
+        together = sum(
+            abs(node.uptime_ms(now_ms) - uptime_ms) <= _COMMON_START_MS
+            for node in heard
+        )
+        return together * 2 > len(heard)
--- a/anvilthread/flows/flow_agent.py
+++ b/anvilthread/flows/flow_agent.py
@@ -1,5 +1,7 @@
 """The agent of flows that are identified by an address pair."""
 
+from collections.abc import Iterable
+
 from anvilthread.clock import Clock
 from anvilthread.flows.agent_condition import AgentCondition
 from anvilthread.flows.agent_flow import AgentFlow
@@ -9,13 +11,19 @@
 from anvilthread.flows.flow_network import FlowNetwork
 from anvilthread.flows.flow_packet import FlowPacket
 from anvilthread.flows.flow_packet_codec import FlowPacketCodec
-from anvilthread.flows.holder_search import HolderSearch
 from anvilthread.flows.latency_buckets import LatencyBuckets
 from anvilthread.flows.messages import MessageHandlers
 from anvilthread.flows.packet_messages import Forward, Place, Refused
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
-from anvilthread.flows.search_messages import Ask, Find, Held, NotHeld
+from anvilthread.flows.search_messages import (
+    Ask,
+    Held,
+    Locate,
+    Located,
+    NotHeld,
+)
+from anvilthread.flows.target_offers import TargetOffers
 from anvilthread.flows.target_watch import Heartbeat, TargetWatch
 from anvilthread.telemetry.log import Log
 
@@ -33,7 +41,7 @@
         network: Sends messages and packets.
         codec: Codec of the packets.
         routes: Configuration in force.
-        roster: Other agents of the service.
+        roster: Identity of this agent, and its peers.
         target: State of the target.
         log: Receives one line per decision.
         counters: Counts of decisions.
@@ -48,9 +56,8 @@
         '_latencies',
         '_log',
         '_network',
-        '_roster',
+        '_offers',
         '_routes',
-        '_search',
         '_service',
         '_started_ms',
         '_target',
@@ -72,17 +79,16 @@
         self._network = network
         self._codec = codec
         self._routes = routes
-        self._roster = roster
         self._target = target
         self._log = log
         self._counters = counters
         self._service = roster.local_node.service
         self._flows = AgentFlowTable(clock=clock, routes=routes)
-        self._search = HolderSearch(
+        self._offers = TargetOffers(
             clock=clock,
             network=network,
             codec=codec,
-            roster=roster,
+            service=self._service,
             target=target,
             on_recovery=self._recover_flow,
             log=log,
@@ -120,10 +126,8 @@
         return {
             Forward: self.on_forward,
             Place: self.on_place,
-            Find: self.on_find,
             Ask: self.on_ask,
-            Held: self._search.on_held,
-            NotHeld: self._search.on_not_held,
+            Locate: self.on_locate,
         }
 
     @property
@@ -135,8 +139,8 @@
         return uptime_ms > self._routes.table.idle_ms
 
     def tick(self) -> None:
-        """Checks the timeouts of offers, searches and opening packets."""
-        self._search.tick()
+        """Checks the timeouts of offers and opening packets."""
+        self._offers.tick()
         if self._condition.tick():
             self._reset_flows('target_silent')
 
@@ -171,39 +175,27 @@
         else:
             self._network.send_to_node(host, NotHeld(key=packet.key))
 
-    def on_find(self, host: str, message: Find) -> None:
-        """Searches the agents of the service for the holder of a flow."""
-        packet = self._codec.from_client(message.packet)
-        if packet is None or message.service != self._service:
-            self._counters.add('packets_misdirected')
-            return
-        flow = self._flows.get(packet.key)
-        if flow is not None and flow.is_open:
-            self._deliver_found(packet, flow, host)
-            return
-        self._search.start(
-            host,
-            packet,
-            asks_local_target=not self.is_complete,
-            agents=message.agents,
-        )
-
     def on_ask(self, host: str, message: Ask) -> None:
-        """Answers whether the local target holds a flow."""
+        """Answers whether the local target holds a flow, and delivers to it."""
         packet = self._codec.from_client(message.packet)
         if packet is None:
             self._counters.add('packets_malformed')
             return
         flow = self._flows.get(packet.key)
-        if message.service != self._service:
-            self._network.send_to_node(host, NotHeld(key=packet.key))
-        elif flow is not None and flow.is_open:
+        if flow is not None and flow.is_open:
+            flow.balancer = host
             self._send_held(host, packet.key)
-            self._deliver_found(packet, flow, message.balancer)
+            self._deliver(packet, flow)
         elif self.is_complete:
             self._network.send_to_node(host, NotHeld(key=packet.key))
+        elif message.may_offer:
+            self._offers.offer(packet, host)
         else:
-            self._search.offer(host, packet, message.balancer)
+            self._answer(host, (packet.key,))
+
+    def on_locate(self, host: str, message: Locate) -> None:
+        """Answers which of several flows the local target holds."""
+        self._answer(host, message.keys)
 
     def on_target_packet(self, packet: FlowPacket) -> None:
         """Handles a packet that the target has sent."""
@@ -288,13 +280,21 @@
         self._network.send_to_node(host, refused)
         self._event('flow_refused', packet.key, reason=reason, balancer=host)
 
-    def _deliver_found(
-        self, packet: FlowPacket, flow: AgentFlow, balancer: str
-    ) -> None:
-        """Delivers a packet of a flow whose holder a balancer searched for."""
-        flow.balancer = balancer
-        self._send_held(balancer, packet.key)
-        self._deliver(packet, flow)
+    def _answer(self, host: str, keys: Iterable[bytes]) -> None:
+        held: list[bytes] = []
+        others: list[bytes] = []
+        for key in keys:
+            flow = self._flows.get(FlowKey(key))
+            is_held = flow is not None and flow.is_open
+            (held if is_held else others).append(key)
+        is_complete = self.is_complete
+        located = Located(
+            service=self._service,
+            held=tuple(held),
+            denied=tuple(others) if is_complete else (),
+            unknown=() if is_complete else tuple(others),
+        )
+        self._network.send_to_node(host, located)
 
     def _deliver(self, packet: FlowPacket, flow: AgentFlow) -> None:
         if self._flows.record_client_packet(packet, flow):
@@ -323,7 +323,7 @@
         It is not sent to the client, since another target may hold the flow.
         """
         self._event('foreign_reset', key, is_known=flow is not None)
-        self._search.on_reset(key)
+        self._offers.on_reset(key)
         self._flows.remove(key)
         if flow is not None and flow.balancer:
             self._network.send_to_node(flow.balancer, NotHeld(key=key))
@@ -334,7 +334,7 @@
         if original is None:
             self._counters.add('packets_malformed')
             return
-        if self._search.on_bounced(packet.mark):
+        if self._offers.on_bounced(packet.mark):
             return
         flow = self._flows.get(original.key)
         self._flows.remove(original.key)
@@ -345,8 +345,8 @@
             self._condition.health.record_failure('opening_refused')
             self._refuse(balancer, original, 'target_full')
         else:
-            self._network.send_to_node(balancer, NotHeld(key=original.key))
-            self._search.start(balancer, original, asks_local_target=False)
+            not_held = NotHeld(key=original.key, packet=content)
+            self._network.send_to_node(balancer, not_held)
 
     def _send_held(self, host: str, key: FlowKey) -> None:
         self._network.send_to_node(host, Held(key=key, service=self._service))
--- a/anvilthread/flows/flow_balancer.py
+++ b/anvilthread/flows/flow_balancer.py
@@ -6,18 +6,19 @@
 from anvilthread.clock import Clock
 from anvilthread.flows.balancer_flow import BalancerFlow
 from anvilthread.flows.balancer_flow_table import BalancerFlowTable
+from anvilthread.flows.fleet_view import FleetView
 from anvilthread.flows.flow_counters import FlowCounters
 from anvilthread.flows.flow_key import FlowKey, flow_name
 from anvilthread.flows.flow_network import FlowNetwork
 from anvilthread.flows.flow_packet import FlowPacket
 from anvilthread.flows.flow_packet_codec import FlowPacketCodec
 from anvilthread.flows.flow_placement import FlowPlacement
+from anvilthread.flows.holder_search import HolderSearch
 from anvilthread.flows.latency_buckets import LatencyBuckets
 from anvilthread.flows.messages import MessageHandlers
 from anvilthread.flows.packet_messages import Forward, Place, Refused
-from anvilthread.flows.rendezvous_finder import RendezvousFinder
 from anvilthread.flows.route_holder import RouteHolder
-from anvilthread.flows.search_messages import Absent, Find, Held, NotHeld
+from anvilthread.flows.search_messages import Held, Located, NotHeld
 from anvilthread.telemetry.log import Log
 
 #: Time after which an agent that has not confirmed a new flow counts as down.
@@ -40,8 +41,8 @@
 class FlowBalancer:
     """Sends packets of clients to the agents that hold their flows.
 
-    The table of flows is a cache: a packet of an unknown flow is sent to an
-    agent that searches for the holder.
+    The table of flows is a cache: the holder of an unknown flow is sought among
+    the agents.
 
     Args:
         clock: Source of time.
@@ -49,7 +50,7 @@
         codec: Codec of the packets.
         routes: Configuration in force.
         placement: Choice of agents for new flows.
-        finder: Choice of the agent that searches for a holder.
+        fleet: What is known of the agents.
         log: Receives one line per decision.
         counters: Counts of decisions.
     """
@@ -58,7 +59,7 @@
         '_clock',
         '_codec',
         '_counters',
-        '_finder',
+        '_fleet',
         '_flows',
         '_latencies',
         '_log',
@@ -66,6 +67,7 @@
         '_pending_openings',
         '_placement',
         '_routes',
+        '_search',
     )
 
     def __init__(
@@ -76,7 +78,7 @@
         codec: FlowPacketCodec,
         routes: RouteHolder,
         placement: FlowPlacement,
-        finder: RendezvousFinder,
+        fleet: FleetView,
         log: Log,
         counters: FlowCounters,
     ) -> None:
@@ -85,12 +87,20 @@
         self._codec = codec
         self._routes = routes
         self._placement = placement
-        self._finder = finder
+        self._fleet = fleet
         self._log = log
         self._counters = counters
         self._latencies = LatencyBuckets()
         self._flows = BalancerFlowTable(clock=clock, routes=routes)
         self._pending_openings: deque[tuple[int, FlowKey]] = deque()
+        self._search = HolderSearch(
+            clock=clock,
+            network=network,
+            fleet=fleet,
+            on_absence=self._on_absence,
+            log=log,
+            counters=counters,
+        )
 
     @property
     def handlers(self) -> MessageHandlers:
@@ -99,7 +109,7 @@
             Held: self.on_held,
             NotHeld: self.on_not_held,
             Refused: self.on_refused,
-            Absent: self.on_absent,
+            Located: self.on_located,
         }
 
     @property
@@ -112,6 +122,11 @@
         """Times from an opening packet to the confirmation of its agent."""
         return self._latencies
 
+    @property
+    def search(self) -> HolderSearch:
+        """Search for the holders of unknown flows."""
+        return self._search
+
     def on_packet(self, packet: FlowPacket) -> None:
         """Handles a packet from a client."""
         flow = self._flows.get(packet.key)
@@ -138,22 +153,28 @@
         flow.agent = host
         flow.is_confirmed = True
         flow.opening_packet = b''
+        self._search.on_held(host, key, message.service)
 
     def on_not_held(self, host: str, message: NotHeld) -> None:
-        """Removes a flow that its agent does not hold."""
+        """Seeks another holder of a flow that an agent does not hold."""
         key = FlowKey(message.key)
         flow = self._flows.get(key)
         if flow is not None and flow.agent == host:
             self._flows.remove(key)
             self._event('flow_not_held', key, agent=host)
-
-    def on_absent(self, host: str, message: Absent) -> None:
-        """Resets a flow that no target of its service holds."""
-        key = FlowKey(message.key)
-        flow = self._flows.get(key)
-        if flow is None or not flow.is_confirmed:
-            self._flows.remove(key)
-            self._reset(key, message.acknowledged, 'no_holder', finder=host)
+            flow = None
+        if flow is None and message.packet:
+            packet = self._codec.from_client(message.packet)
+            if packet is not None:
+                self._search_holder(packet, denied_by=host)
+        self._search.on_denied(host, (key,))
+
+    def on_located(self, host: str, message: Located) -> None:
+        """Handles the answers of an agent about several flows."""
+        for key in message.held:
+            self.on_held(host, Held(key=key, service=message.service))
+        self._search.on_denied(host, message.denied)
+        self._search.on_unknown(host, message.unknown)
 
     def on_refused(self, host: str, message: Refused) -> None:
         """Places a flow on another agent after one has refused it."""
@@ -169,8 +190,10 @@
         self._place_again(packet, flow, message.reason)
 
     def tick(self) -> None:
-        """Retries unconfirmed placements, and removes expired flows."""
+        """Continues placements and searches, and removes expired flows."""
         now_ms = self._clock.now_ms()
+        self._fleet.tick()
+        self._search.tick()
         due: list[FlowKey] = []
         while self._pending_openings and self._pending_openings[0][0] <= now_ms:
             due.append(self._pending_openings.popleft()[1])
@@ -188,13 +211,14 @@
         if route is None:
             self._reject_unrouted(packet)
             return
+        self._search.cancel(packet.key)
         service = route.choose(packet.key)
         flow = self._flows.add(packet.key, '', service)
         flow.opening_packet = packet.content
         if self._place(flow):
             return
         self._reject(
-            packet, flow, 'no_agent', retries_later=not self._finder.is_settled
+            packet, flow, 'no_agent', retries_later=not self._fleet.is_settled
         )
 
     def _place_again(
@@ -205,7 +229,7 @@
         has_attempts_left = len(flow.tried) < _MAX_ATTEMPTS
         if has_attempts_left and self._place(flow):
             return
-        retries_later = has_attempts_left and self._finder.is_starting
+        retries_later = has_attempts_left and self._fleet.is_starting
         self._reject(packet, flow, reason, retries_later=retries_later)
 
     def _reject(
@@ -227,7 +251,7 @@
 
     def _place(self, flow: BalancerFlow) -> bool:
         now_ms = self._clock.now_ms()
-        chosen = self._placement.choose(flow.service, flow.tried)
+        chosen = self._placement.choose(flow.service, flow.key, flow.tried)
         if chosen is None:
             return False
         flow.agent = chosen.host
@@ -275,7 +299,7 @@
             self._flows.remove(packet.key)
             self._reset(packet.key, packet.acknowledged, 'route_removed')
             return
-        if self._finder.is_gone(flow.agent):
+        if self._fleet.is_gone(flow.agent):
             # If the agent returns, the search finds it.
             self._flows.remove(packet.key)
             self._event('agent_gone', packet.key, agent=flow.agent)
@@ -287,22 +311,19 @@
         message = Forward(packet=packet.content, service=flow.service)
         self._network.send_to_node(flow.agent, message)
 
-    def _search_holder(self, packet: FlowPacket) -> None:
+    def _search_holder(self, packet: FlowPacket, denied_by: str = '') -> None:
         route = self._routes.table.route_of(packet.key)
         if route is None:
             self._reject_unrouted(packet)
-            return
-        service = route.choose(packet.key)
-        agents = self._finder.reachable_agents(service)
-        agent = self._finder.choose(agents, packet.key)
-        if agent is None:
-            self._counters.add('packets_without_agent')
-            return
-        self._event('holder_sought', packet.key, service=service, finder=agent)
-        message = Find(
-            packet=packet.content, service=service, agents=len(agents)
-        )
-        self._network.send_to_node(agent, message)
+        else:
+            service = route.choose(packet.key)
+            self._search.start(packet, service, denied_by)
+
+    def _on_absence(
+        self, key: FlowKey, acknowledged: int, fields: dict[str, object]
+    ) -> None:
+        """Resets a flow that no target holds."""
+        self._reset(key, acknowledged, 'no_holder', **fields)
 
     def _reject_unrouted(self, packet: FlowPacket) -> None:
         routes = self._routes
--- a/anvilthread/flows/flow_placement.py
+++ b/anvilthread/flows/flow_placement.py
@@ -1,17 +1,19 @@
 """The choice of an agent for a new flow."""
 
 from collections.abc import Collection
-from random import Random
 from typing import Final
 
 from anvilthread.clock import Clock
+from anvilthread.flows.agent_ranking import rank_agents
+from anvilthread.flows.flow_key import FlowKey
 from anvilthread.flows.known_node import KnownNode
 from anvilthread.flows.roster import Roster
 
-#: Agents sampled at random, of which the least loaded is chosen. If several
-#: balancers chose the least loaded of all agents by the same reports, they
-#: would send it a burst (Mitzenmacher, The Power of Two Choices, 2001).
-_SAMPLE_SIZE: Final = 3
+#: Agents that the key of a flow selects, of which the least loaded is chosen.
+#: If several balancers chose the least loaded of all agents by the same
+#: reports, they would send it a burst (Mitzenmacher, The Power of Two Choices,
+#: 2001). A search for the holder asks the agents of the first ranks.
+CANDIDATES: Final = 3
 
 #: Maximum share of a service's agents that is ejected for failing. If more of
 #: them fail, the cause is elsewhere, and the rest could not carry the load.
@@ -23,24 +25,23 @@
 
     Args:
         clock: Clock for the age of reports.
-        random: Source of the samples.
         roster: The agents and their reports.
     """
 
-    __slots__ = ('_clock', '_random', '_roster')
+    __slots__ = ('_clock', '_roster')
 
-    def __init__(self, *, clock: Clock, random: Random, roster: Roster) -> None:
+    def __init__(self, *, clock: Clock, roster: Roster) -> None:
         self._clock = clock
-        self._random = random
         self._roster = roster
 
     def choose(
-        self, service: str, excluded: Collection[str]
+        self, service: str, key: FlowKey, excluded: Collection[str]
     ) -> KnownNode | None:
         """Chooses an agent for a new flow, and counts the flow as sent there.
 
         Args:
             service: Service of the flow.
+            key: The flow.
             excluded: Hosts that have already refused or not answered.
 
         Returns:
@@ -56,8 +57,7 @@
         usable = _without_failing(fresh or agents)
         if not usable:
             return None
-        sampled = self._random.sample(usable, min(_SAMPLE_SIZE, len(usable)))
-        chosen = min(sampled, key=_load)
+        chosen = min(rank_agents(key, usable)[:CANDIDATES], key=_load)
         chosen.count_send()
         return chosen
 
--- a/anvilthread/flows/holder_search.py
+++ b/anvilthread/flows/holder_search.py
@@ -1,81 +1,89 @@
-"""The search for the holders of flows by an agent."""
+"""The search for the holders of flows by a balancer."""
 
-import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final
 
-import msgspec
-
 from anvilthread.clock import Clock
+from anvilthread.flows.fleet_view import FleetView
 from anvilthread.flows.flow_counters import FlowCounters
 from anvilthread.flows.flow_key import FlowKey, flow_name
 from anvilthread.flows.flow_network import FlowNetwork
 from anvilthread.flows.flow_packet import FlowPacket
-from anvilthread.flows.flow_packet_codec import FlowPacketCodec
 from anvilthread.flows.flow_search import FlowSearch
 from anvilthread.flows.known_node import KnownNode
-from anvilthread.flows.offer import Offer
+from anvilthread.flows.locate_batch import LocateBatch
+from anvilthread.flows.node_record import NodeRole
 from anvilthread.flows.packet_messages import Forward
-from anvilthread.flows.roster import Roster
-from anvilthread.flows.search_messages import Absent, Ask, Held, NotHeld
-from anvilthread.flows.target_watch import TargetWatch
+from anvilthread.flows.search_messages import Ask, Locate
 from anvilthread.telemetry.log import Log
 
-#: A target returns a packet of a flow that it does not hold at once. A packet
-#: not returned within this time has been accepted.
-_OFFER_TIMEOUT_MS: Final = 40
+#: Candidates of the flow's own service that are asked one pair after another.
+OWN_CANDIDATES: Final = 4
+_PAIR: Final = 2
+
+#: Candidates of each other service, asked at once after those. A route may
+#: have been given to another service since the flow was opened.
+OTHER_CANDIDATES: Final = 3
+
+#: Other services whose candidates are asked before all agents are.
+_MAX_OTHER_SERVICES: Final = 4
+
+#: Time after which a search goes on without an answer of the last candidates.
+#: An offer to a target takes 40 to 60 ms.
+_ANSWER_TIMEOUT_MS: Final = 80
 
-#: Timeout of a search: less than the 200 ms after which the client
-#: retransmits, which starts another search.
-_SEARCH_TIMEOUT_MS: Final = 180
+#: Packets of one flow that may be offered to targets while an agent that may
+#: hold the flow does not answer or is unknown. Three packets that reach other targets and
+#: none that reaches its own count as a broken flow.
+_MAX_UNCERTAIN_OFFERS: Final = 2
 
-#: Maximum age of an agent's last message at which it is expected to answer.
-_RESPONSIVE_MS: Final = 1500
+#: Minimum time between two questions to all agents, and its growth per agent,
+#: for at most 500 messages per second.
+_MIN_ROUND_MS: Final = 40
+_ROUND_PER_AGENT_MS: Final = 2
 
-#: Number of flows offered, and time since the first offer, after which a
-#: target that has sent nothing counts as absent: it would have returned the
-#: packets of flows that it does not hold, and answered the others.
-_MIN_UNANSWERED_OFFERS: Final = 5
-_MIN_UNANSWERED_MS: Final = 500
+#: Packets that agents may offer to their targets per round, of all flows.
+_MAX_OFFERS_PER_ROUND: Final = 32
 
-_MAX_MARK: Final = 0xFFFFFFFF
+#: Searches at a time, of up to eight packets each.
+_MAX_SEARCHES: Final = 2000
 
-#: Receives a flow that the local target was found to hold, and the host of
-#: its balancer.
-RecoveryListener = Callable[[FlowKey, str], None]
+#: Time without a packet of the client after which its search ends. A client
+#: retransmits at least every 1.6 s.
+_IDLE_TIMEOUT_MS: Final = 4000
+
+#: Receives a flow that no target holds, the last stream position that its
+#: client has acknowledged, and fields for the log.
+AbsenceListener = Callable[[FlowKey, int, dict[str, object]], None]
 
 
 class HolderSearch:
-    """Asks the other agents of the service and, if necessary, the local target.
+    """Asks the candidates of a flow, then all agents that may hold it.
 
-    The target is asked by offering it a packet of the flow: it returns packets
-    of flows that it does not hold.
+    A flow is sought by one search at a time, and an agent that has denied it
+    is not asked again. Questions to all agents are collected for many flows,
+    so their number depends on the agents and not on the flows.
 
     Args:
         clock: Source of time.
-        network: Sends messages and packets.
-        codec: Codec of the packets.
-        roster: Other agents of the service.
-        target: State of the local target.
-        on_recovery: Called with each flow that the local target is found to
-            hold.
-        log: Receives one line per decision.
-        counters: Counts of decisions.
+        network: Sends messages.
+        fleet: The agents that may hold flows.
+        on_absence: Called with each flow that is known to have no holder, and
+            again with each further packet of its client.
+        log: Receives one line per search.
+        counters: Counts of searches and questions.
     """
 
     __slots__ = (
         '_clock',
-        '_codec',
         '_counters',
+        '_fleet',
         '_log',
-        '_marks',
         '_network',
-        '_offers',
-        '_on_recovery',
-        '_roster',
+        '_next_round_ms',
+        '_offers_left',
+        '_on_absence',
         '_searches',
-        '_target',
-        '_unanswered_offers',
     )
 
     def __init__(
@@ -83,210 +91,272 @@
         *,
         clock: Clock,
         network: FlowNetwork,
-        codec: FlowPacketCodec,
-        roster: Roster,
-        target: TargetWatch,
-        on_recovery: RecoveryListener,
+        fleet: FleetView,
+        on_absence: AbsenceListener,
         log: Log,
         counters: FlowCounters,
     ) -> None:
         self._clock = clock
         self._network = network
-        self._codec = codec
-        self._roster = roster
-        self._target = target
-        self._on_recovery = on_recovery
+        self._fleet = fleet
+        self._on_absence = on_absence
         self._log = log
         self._counters = counters
         self._searches: dict[FlowKey, FlowSearch] = {}
-        self._offers: dict[int, Offer] = {}
-        self._marks = itertools.count(1)
-        #: Time of the first offer of each flow that the target, which has
-        #: sent nothing so far, has not returned.
-        self._unanswered_offers: dict[FlowKey, int] = {}
+        self._next_round_ms = 0
+        self._offers_left = 0
+
+    @property
+    def open_searches(self) -> int:
+        """Number of flows whose holder is sought or was not found."""
+        return len(self._searches)
 
     def start(
-        self,
-        balancer: str,
-        packet: FlowPacket,
-        *,
-        asks_local_target: bool,
-        agents: int = 0,
+        self, packet: FlowPacket, service: str, denied_by: str = ''
     ) -> None:
-        """Starts the search for the holder of a flow.
+        """Starts the search for the holder of a flow, or adds a packet to it.
 
         Args:
-            balancer: Host of the balancer that is sent the result.
             packet: A packet of the flow.
-            asks_local_target: Whether the local target may hold the
-                flow.
-            agents: Number of agents of the service that the balancer knows,
-                including this one. A search that asks fewer is incomplete and
-                does not show that the flow has no holder.
+            service: Service that the route of the flow has now.
+            denied_by: Host of an agent that does not hold the flow, if known.
         """
+        now_ms = self._clock.now_ms()
         search = self._searches.get(packet.key)
         if search is not None:
-            search.queue_packet(packet.content)
+            search.queue_packet(packet, now_ms)
+            if denied_by:
+                search.record_denial(denied_by)
+            if search.is_absent:
+                self._report_absence(search)
+            return
+        if len(self._searches) >= _MAX_SEARCHES:
+            self._counters.add('searches_rejected')
             return
-        local_node = self._roster.local_node
-        now_ms = self._clock.now_ms()
-        others = self._roster.present_agents(local_node.service)
-        asked = [node.host for node in others if _is_responsive(node, now_ms)]
         search = FlowSearch(
-            balancer=balancer,
-            asked=[*asked, local_node.host] if asks_local_target else asked,
-            acknowledged=packet.acknowledged,
+            packet=packet,
+            service=service,
             now_ms=now_ms,
-            is_complete=len(asked) >= max(len(others), agents - 1),
         )
+        if denied_by:
+            search.record_denial(denied_by)
         self._searches[packet.key] = search
+        self._event('holder_sought', search, service=service)
+        self._ask_candidates(search)
+
+    def cancel(self, key: FlowKey) -> None:
+        """Ends the search for a flow whose client opens it anew."""
+        self._searches.pop(key, None)
+
+    def on_held(self, host: str, key: FlowKey, service: str) -> None:
+        """Ends a search, and sends the queued packets to the holder."""
+        search = self._searches.pop(key, None)
+        if search is None:
+            return
+        for packet in search.packets_for(host):
+            forward = Forward(packet=packet, service=service)
+            self._network.send_to_node(host, forward)
         self._event(
-            'holder_searched',
-            packet.key,
-            asked=len(asked),
-            known=len(others),
-            offers_own=asks_local_target,
+            'holder_found',
+            search,
+            agent=host,
+            service=service,
+            **self._outcome(search),
         )
-        ask = Ask(
-            packet=packet.content, service=local_node.service, balancer=balancer
+
+    def on_denied(self, host: str, keys: Iterable[bytes]) -> None:
+        """Handles the answer of an agent that does not hold some flows."""
+        for search in self._answered_searches(host, keys):
+            search.record_denial(host)
+            self._continue(search)
+
+    def on_unknown(self, host: str, keys: Iterable[bytes]) -> None:
+        """Handles the answer of an agent that does not know some flows."""
+        for search in self._answered_searches(host, keys):
+            search.record_unknown(host)
+            if search.is_asking_candidates and self._offers_allowed(search):
+                self._ask(search, host, may_offer=True)
+            self._continue(search)
+
+    def on_node_started(self, node: KnownNode) -> None:
+        """Asks an agent that has started, or restarted, without a pause."""
+        if node.record.role != NodeRole.AGENT:
+            return
+        for search in self._searches.values():
+            search.forget_pause(node.host)
+            search.has_candidates = True
+
+    def tick(self) -> None:
+        """Continues searches without an answer, and questions all agents."""
+        now_ms = self._clock.now_ms()
+        for key, search in list(self._searches.items()):
+            if now_ms - search.last_packet_ms > _IDLE_TIMEOUT_MS:
+                self._searches.pop(key)
+                self._counters.add('searches_expired')
+        if self._searches and now_ms >= self._next_round_ms:
+            self._run_round(now_ms)
+
+    def _answered_searches(
+        self, host: str, keys: Iterable[bytes]
+    ) -> list[FlowSearch]:
+        """Returns the searches that have asked a host about some flows."""
+        searches: list[FlowSearch] = []
+        for key in keys:
+            search = self._searches.get(FlowKey(key))
+            if search is not None and search.was_asked(host):
+                searches.append(search)
+            elif search is not None:
+                self._event('answer_unexpected', search, agent=host)
+        return searches
+
+    def _continue(self, search: FlowSearch) -> None:
+        """Takes the next step once all agents asked have answered."""
+        if search.is_unanswered or search.is_absent:
+            return
+        if search.has_candidates:
+            self._ask_candidates(search)
+        if not search.is_unanswered:
+            self._conclude(search, self._possible_hosts())
+
+    def _ask_candidates(self, search: FlowSearch) -> None:
+        now_ms = self._clock.now_ms()
+        hosts = [
+            host
+            for host in self._candidates(search)
+            if not search.was_asked(host)
+        ]
+        search.has_candidates = len(hosts) > _PAIR
+        search.waits_until_ms = now_ms + _ANSWER_TIMEOUT_MS
+        for host in hosts[:_PAIR]:
+            self._ask(search, host, may_offer=False)
+
+    def _candidates(self, search: FlowSearch) -> list[str]:
+        """Returns the hosts to ask first, in order."""
+        return self._ranked_hosts(
+            search, own=OWN_CANDIDATES, other=OTHER_CANDIDATES
         )
-        for host in asked:
-            self._network.send_to_node(host, ask)
-        if asks_local_target:
-            self.offer(local_node.host, packet, balancer)
-        self._finish_if_answered(packet.key, search)
 
-    def offer(self, finder: str, packet: FlowPacket, balancer: str) -> None:
-        """Offers a packet to the target to find out whether it holds the flow.
+    def _ranked_hosts(
+        self,
+        search: FlowSearch,
+        *,
+        own: int | None = None,
+        other: int | None = None,
+    ) -> list[str]:
+        """Returns the possible holders of a flow, the likeliest first.
 
         Args:
-            finder: Host of the agent that searches for the holder.
-            packet: A packet of the flow.
-            balancer: Host of the balancer that forwards the flow.
+            search: Search for the flow.
+            own: Maximum number of agents of the flow's service.
+            other: Maximum number of agents of each other service.
         """
-        mark = next(self._marks) & _MAX_MARK
-        self._offers[mark] = Offer(
-            key=packet.key,
-            finder=finder,
-            balancer=balancer,
-            started_ms=self._clock.now_ms(),
-            was_alive=self._target.is_alive,
+        fleet = self._fleet
+        ranked = fleet.candidates(search.service, search.key)[:own]
+        names = [name for name in fleet.services if name != search.service]
+        if other is not None:
+            names = names[:_MAX_OTHER_SERVICES]
+        for name in names:
+            ranked.extend(fleet.candidates(name, search.key)[:other])
+        return [node.host for node in ranked]
+
+    def _ask(self, search: FlowSearch, host: str, *, may_offer: bool) -> None:
+        search.record_question(host, self._clock.now_ms(), with_packet=True)
+        search.offers += may_offer
+        self._counters.add('search_questions')
+        ask = Ask(packet=search.first_packet, may_offer=may_offer)
+        self._network.send_to_node(host, ask)
+
+    def _run_round(self, now_ms: int) -> None:
+        """Continues every search, with one message at most to each agent."""
+        hosts = self._possible_hosts()
+        self._next_round_ms = now_ms + max(
+            _MIN_ROUND_MS, _ROUND_PER_AGENT_MS * len(hosts)
         )
-        self._network.send_to_target(self._codec.marked(packet.content, mark))
-        self._event('flow_offered', packet.key, finder=finder)
+        batch = LocateBatch()
+        self._offers_left = _MAX_OFFERS_PER_ROUND
+        for search in self._searches.values():
+            is_waiting = search.is_unanswered and now_ms < search.waits_until_ms
+            if search.is_absent or is_waiting:
+                continue
+            if search.has_candidates:
+                self._ask_candidates(search)
+            else:
+                self._question_all(search, hosts, batch)
+        for host, keys in batch.items():
+            self._counters.add('search_questions')
+            self._network.send_to_node(host, Locate(keys=keys))
 
-    def on_bounced(self, mark: int) -> bool:
-        """Handles a packet that the target has returned.
+    def _question_all(
+        self, search: FlowSearch, hosts: list[str], batch: LocateBatch
+    ) -> None:
+        """Asks all agents that may hold a flow and have not answered."""
+        if self._conclude(search, hosts):
+            return
+        search.is_asking_candidates = False
+        pending = search.pending(hosts)
+        unsure = [host for host in pending if search.is_unknown_to(host)]
+        if len(unsure) == len(pending):
+            self._let_offer(search, unsure)
+            return
+        now_ms = self._clock.now_ms()
+        for host in pending:
+            is_due = host not in unsure and search.is_due(host, now_ms)
+            if is_due and batch.add(host, search.key):
+                search.record_question(host, now_ms, with_packet=False)
 
-        Args:
-            mark: Mark of the packet.
+    def _conclude(self, search: FlowSearch, hosts: list[str]) -> bool:
+        """Ends a search that all agents have denied.
 
         Returns:
-            Whether the packet was an offer.
+            Whether there is no agent left to ask.
         """
-        offer = self._offers.pop(mark, None)
-        if offer is None:
+        if search.pending(hosts):
             return False
-        self._deny(offer)
+        if self._fleet.proves_absence:
+            search.is_absent = True
+            self._report_absence(search)
         return True
 
-    def on_reset(self, key: FlowKey) -> None:
-        """Handles a reset by the target for a flow that it does not hold."""
-        for mark, offer in list(self._offers.items()):
-            if offer.key == key:
-                self._offers.pop(mark)
-                self._deny(offer)
+    def _offers_allowed(self, search: FlowSearch) -> int:
+        """Returns how many more agents may offer the packet of a search."""
+        is_silent = search.is_asking_candidates and search.is_unanswered
+        if self._fleet.knows_agents and not is_silent:
+            return _MAX_OFFERS_PER_ROUND
+        return max(_MAX_UNCERTAIN_OFFERS - search.offers, 0)
 
-    def on_held(self, host: str, message: Held) -> None:
-        """Ends a search, and sends the queued packets to the holder."""
-        search = self._searches.pop(FlowKey(message.key), None)
-        if search is None:
-            return
-        for packet in search.packets:
-            forward = Forward(packet=packet, service=message.service)
-            self._network.send_to_node(host, forward)
+    def _possible_hosts(self) -> list[str]:
+        return [node.host for node in self._fleet.possible_holders]
 
-    def on_not_held(self, host: str, message: NotHeld) -> None:
-        """Handles the answer of an agent that does not hold a flow."""
-        key = FlowKey(message.key)
-        search = self._searches.get(key)
-        if search is not None:
-            search.record_denial(host)
-            self._finish_if_answered(key, search)
+    def _let_offer(self, search: FlowSearch, pending: list[str]) -> None:
+        """Lets agents that do not know ask their targets, the likeliest first.
 
-    def tick(self) -> None:
-        """Ends offers and searches that have timed out."""
+        A packet reaches few targets that do not hold its flow: the candidates
+        are asked in the first round, and twice as many agents in each next
+        one.
+        """
         now_ms = self._clock.now_ms()
-        for mark, offer in list(self._offers.items()):
-            if now_ms - offer.started_ms <= _OFFER_TIMEOUT_MS:
-                continue
-            if offer.is_due:
-                self._offers.pop(mark)
-                self._resolve(offer)
-            else:
-                # After a pause of this process, packets that the target has
-                # returned are read between this tick and the next one.
-                self._offers[mark] = msgspec.structs.replace(offer, is_due=True)
-        for key, search in list(self._searches.items()):
-            if now_ms - search.started_ms > _SEARCH_TIMEOUT_MS:
-                self._searches.pop(key)
-                self._counters.add('searches_timed_out')
-
-    def _deny(self, offer: Offer) -> None:
-        message = NotHeld(key=offer.key)
-        local_host = self._roster.local_node.host
-        if offer.finder == local_host:
-            self.on_not_held(local_host, message)
-        else:
-            self._network.send_to_node(offer.finder, message)
-
-    def _resolve(self, offer: Offer) -> None:
-        """Resolves an offer whose packet the target has not returned."""
-        if offer.was_alive and self._target.is_alive:
-            self._confirm_held(offer)
-            return
-        self._counters.add('offers_unanswered')
-        if self._target.is_overdue or self._is_target_absent(offer):
-            self._deny(offer)
-
-    def _is_target_absent(self, offer: Offer) -> bool:
-        if self._target.was_seen:
-            return False
-        self._unanswered_offers.setdefault(offer.key, offer.started_ms)
-        if len(self._unanswered_offers) < _MIN_UNANSWERED_OFFERS:
-            return False
-        since_ms = min(self._unanswered_offers.values())
-        return self._clock.now_ms() - since_ms >= _MIN_UNANSWERED_MS
-
-    def _confirm_held(self, offer: Offer) -> None:
-        """Reports that the target holds an offered flow."""
-        self._on_recovery(offer.key, offer.balancer)
-        local_node = self._roster.local_node
-        held = Held(key=offer.key, service=local_node.service)
-        self._network.send_to_node(offer.balancer, held)
-        if offer.finder == local_node.host:
-            self.on_held(local_node.host, held)
-        else:
-            self._network.send_to_node(offer.finder, held)
-        self._event('flow_recovered', offer.key, balancer=offer.balancer)
-
-    def _finish_if_answered(self, key: FlowKey, search: FlowSearch) -> None:
-        if not search.is_answered:
-            return
-        self._searches.pop(key, None)
-        if search.proves_absence:
-            absent = Absent(key=key, acknowledged=search.acknowledged)
-            self._network.send_to_node(search.balancer, absent)
-        else:
-            self._counters.add('searches_incomplete')
+        ordered = [
+            host
+            for host in self._ranked_hosts(search)
+            if host in pending and search.is_due(host, now_ms)
+        ]
+        count = min(
+            search.offer_limit, self._offers_left, self._offers_allowed(search)
+        )
+        self._offers_left -= min(count, len(ordered))
+        search.offer_limit *= 2
+        for host in ordered[:count]:
+            self._ask(search, host, may_offer=True)
 
-    def _event(self, name: str, key: FlowKey, **fields: object) -> None:
-        self._counters.add(name)
-        self._log.event(name, flow=flow_name(key), **fields)
+    def _report_absence(self, search: FlowSearch) -> None:
+        self._on_absence(search.key, search.acknowledged, self._outcome(search))
 
+    def _outcome(self, search: FlowSearch) -> dict[str, object]:
+        return {
+            'questions': search.questions,
+            'took_ms': self._clock.now_ms() - search.started_ms,
+        }
 
-def _is_responsive(node: KnownNode, now_ms: int) -> bool:
-    return (
-        node.last_seen_ms is not None
-        and now_ms - node.last_seen_ms <= _RESPONSIVE_MS
-    )
+    def _event(self, name: str, search: FlowSearch, **fields: object) -> None:
+        self._counters.add(name)
+        self._log.event(name, flow=flow_name(search.key), **fields)
--- a/anvilthread/flows/known_node.py
+++ b/anvilthread/flows/known_node.py
@@ -1,5 +1,6 @@
 """The state of a peer as seen by one node."""
 
+import zlib
 from typing import Final
 
 from anvilthread.flows.node_messages import LoadReport
@@ -20,6 +21,10 @@
 #: node as in touch (4 to 5 s).
 _GONE_TIMEOUT_MS: Final = 4000
 
+#: Report periods for which an agent is silent before it counts as gone, where
+#: they are longer than that: one report may be lost.
+_GONE_REPORT_PERIODS: Final = 3
+
 #: The same for a peer that has announced that it returns with its flows: a
 #: restart by request, including the longest time that the platform gives a
 #: process to stop (6 s).
@@ -42,6 +47,7 @@
     """
 
     __slots__ = (
+        '_host_hash',
         '_is_leaving',
         '_last_seen_ms',
         '_record',
@@ -54,6 +60,7 @@
 
     def __init__(self, *, record: NodeRecord, last_seen_ms: int | None) -> None:
         self._record = record
+        self._host_hash = zlib.crc32(record.host.encode())
         self._last_seen_ms = last_seen_ms
         self._unanswered_hellos = 0
         self._is_leaving = False
@@ -72,6 +79,11 @@
         """IPv4 address of the peer."""
         return self._record.host
 
+    @property
+    def host_hash(self) -> int:
+        """Hash of the host, for rendezvous hashing."""
+        return self._host_hash
+
     @property
     def last_seen_ms(self) -> int | None:
         """Monotonic time of the last message from the peer; None if none."""
@@ -144,8 +156,24 @@
         if self._last_seen_ms is None:
             return False
         limit_ms = _RESTART_TIMEOUT_MS if self._returns else _GONE_TIMEOUT_MS
+        if self._report is not None:
+            silence_ms = self._report.period_ms * _GONE_REPORT_PERIODS
+            limit_ms = max(limit_ms, silence_ms)
         return now_ms - self._last_seen_ms > limit_ms
 
+    def may_hold_flows(self, now_ms: int) -> bool:
+        """Whether the peer's target may hold flows that are open."""
+        if self._is_leaving and not self._returns:
+            return False
+        return not self.is_gone(now_ms)
+
+    def uptime_ms(self, now_ms: int) -> int:
+        """Time in ms since the start of the peer's process, by its report."""
+        report = self._report
+        if report is None:
+            return 0
+        return report.uptime_ms + self.age_ms(now_ms)
+
     def leave(self, *, returns: bool) -> None:
         """Records that the peer stops.
 
--- a/anvilthread/flows/messages.py
+++ b/anvilthread/flows/messages.py
@@ -5,16 +5,22 @@
 
 from anvilthread.flows.node_messages import Hello, Leaving, LoadReport, Peers
 from anvilthread.flows.packet_messages import Forward, Place, Refused
-from anvilthread.flows.search_messages import Absent, Ask, Find, Held, NotHeld
+from anvilthread.flows.search_messages import (
+    Ask,
+    Held,
+    Locate,
+    Located,
+    NotHeld,
+)
 
 AnyMessage: TypeAlias = (
     Forward
     | Place
     | Refused
-    | Absent
     | Ask
-    | Find
     | Held
+    | Locate
+    | Located
     | NotHeld
     | Hello
     | Leaving
--- a/anvilthread/flows/node_messages.py
+++ b/anvilthread/flows/node_messages.py
@@ -21,6 +21,7 @@
         check_age_ms: Age of the last check of that version with the store; -1
             if it has never been checked.
         is_failing: Whether the target is ejected because its requests fail.
+        uptime_ms: Time since the start of the agent's process.
     """
 
     node: NodeRecord
@@ -35,6 +36,7 @@
     version: int
     check_age_ms: int
     is_failing: bool = False
+    uptime_ms: int = 1 << 40
 
 
 class Hello(Message, frozen=True, tag=10):
--- a/anvilthread/flows/offer.py
+++ b/anvilthread/flows/offer.py
@@ -10,8 +10,7 @@
 
     Attributes:
         key: The flow.
-        finder: Host of the agent that searches for the holder.
-        balancer: Host of the balancer that forwards the flow.
+        balancer: Host of the balancer that searches for the holder.
         started_ms: Time of the offer.
         was_alive: Whether the target was alive at the time of the offer. A
             target that has not started returns nothing, so the missing
@@ -20,7 +19,6 @@
     """
 
     key: FlowKey
-    finder: str
     balancer: str
     started_ms: int
     was_alive: bool
--- a/anvilthread/flows/report_period.py
+++ b/anvilthread/flows/report_period.py
@@ -13,18 +13,6 @@
 #: smallest VM has 0.16.
 _BALANCER_PERIOD_PER_AGENT_MS: Final = 8
 
-#: Minimum time between two reports to the agents of the service, which use
-#: them only for liveness: a search asks agents seen within 1.5 s.
-_MIN_AGENT_PERIOD_MS: Final = 500
-
-#: Minimum time between two reports to the agents of the service per agent,
-#: for 67 reports per second.
-_AGENT_PERIOD_PER_AGENT_MS: Final = 15
-
-#: Maximum time between two reports to agents; within 1.5 s, one of two may be
-#: lost.
-_MAX_AGENT_PERIOD_MS: Final = 700
-
 
 def balancer_period_ms(agents: int) -> int:
     """Returns the time between reports to balancers in ms.
@@ -33,13 +21,3 @@
         agents: Number of agents of all services that report to a balancer.
     """
     return max(_MIN_BALANCER_PERIOD_MS, _BALANCER_PERIOD_PER_AGENT_MS * agents)
-
-
-def agent_period_ms(agents: int) -> int:
-    """Returns the time between reports to the agents of a service in ms.
-
-    Args:
-        agents: Number of agents of the service.
-    """
-    spread_ms = max(_MIN_AGENT_PERIOD_MS, _AGENT_PERIOD_PER_AGENT_MS * agents)
-    return min(spread_ms, _MAX_AGENT_PERIOD_MS)
--- a/anvilthread/flows/roster.py
+++ b/anvilthread/flows/roster.py
@@ -78,25 +78,22 @@
 
     def agents(self, service: str) -> list[KnownNode]:
         """Returns the agents of a service."""
+        return [
+            node for node in self.all_agents() if node.record.service == service
+        ]
+
+    def all_agents(self) -> list[KnownNode]:
+        """Returns the agents of all services."""
         return [
             node
             for node in self._nodes.values()
-            if node.record.service == service
-            and node.record.role == NodeRole.AGENT
+            if node.record.role == NodeRole.AGENT
         ]
 
-    def present_agents(self, service: str) -> list[KnownNode]:
-        """Returns the agents of a service that are not gone."""
-        now_ms = self._clock.now_ms()
-        agents = self.agents(service)
-        return [node for node in agents if not node.is_gone(now_ms)]
-
     @property
     def agent_count(self) -> int:
         """Number of agents of all services."""
-        return sum(
-            node.record.role == NodeRole.AGENT for node in self._nodes.values()
-        )
+        return len(self.all_agents())
 
     def balancers(self) -> list[KnownNode]:
         """Returns all balancers."""
--- a/anvilthread/flows/search_messages.py
+++ b/anvilthread/flows/search_messages.py
@@ -3,54 +3,57 @@
 from anvilthread.flows.message import Message
 
 
-class Find(Message, frozen=True, tag=3):
-    """A balancer asks an agent to search for the holder of a flow.
+class Held(Message, frozen=True, tag=5):
+    """The sender's target holds a flow of a service."""
+
+    key: bytes
+    service: str
+
+
+class NotHeld(Message, frozen=True, tag=6):
+    """The sender's target does not hold a flow.
 
     Attributes:
-        packet: A packet of the flow, delivered once the holder is found.
-        service: Service of the flow.
-        agents: Number of agents of the service that the balancer knows.
+        key: The flow.
+        packet: A packet of the flow that the target has returned, for its
+            holder; empty if there is none.
     """
 
-    packet: bytes
-    service: str
-    agents: int
+    key: bytes
+    packet: bytes = b''
 
 
-class Ask(Message, frozen=True, tag=4):
-    """An agent asks another agent whether its target holds a flow.
+class Ask(Message, frozen=True, tag=13):
+    """A balancer asks an agent whether its target holds a flow.
 
     Attributes:
         packet: A packet of the flow; the holder delivers it.
-        service: Service of the flow.
-        balancer: Host of the balancer that requested the search.
+        may_offer: Whether an agent that does not know may offer the packet to
+            its target.
     """
 
     packet: bytes
-    service: str
-    balancer: str
+    may_offer: bool
 
 
-class Held(Message, frozen=True, tag=5):
-    """The sender's target holds a flow of a service."""
-
-    key: bytes
-    service: str
-
+class Locate(Message, frozen=True, tag=14):
+    """A balancer asks an agent which of several flows its target holds."""
 
-class NotHeld(Message, frozen=True, tag=6):
-    """The sender's target does not hold a flow."""
-
-    key: bytes
+    keys: tuple[bytes, ...]
 
 
-class Absent(Message, frozen=True, tag=7):
-    """No target of the service holds a flow.
+class Located(Message, frozen=True, tag=15):
+    """The answer to :class:`Locate`, and to an :class:`Ask` without an offer.
 
     Attributes:
-        key: The flow.
-        acknowledged: Last stream position that the client has acknowledged.
+        service: Service of the target.
+        held: Flows that the target holds.
+        denied: Flows that it does not hold.
+        unknown: Flows of which the agent does not know it, because it has
+            started later than its target.
     """
 
-    key: bytes
-    acknowledged: int
+    service: str
+    held: tuple[bytes, ...]
+    denied: tuple[bytes, ...]
+    unknown: tuple[bytes, ...]
--- /dev/null
+++ b/anvilthread/flows/target_offers.py
@@ -0,0 +1,177 @@
+"""Packets that an agent offers to its target."""
+
+import itertools
+from collections.abc import Callable
+from typing import Final
+
+import msgspec
+
+from anvilthread.clock import Clock
+from anvilthread.flows.flow_counters import FlowCounters
+from anvilthread.flows.flow_key import FlowKey, flow_name
+from anvilthread.flows.flow_network import FlowNetwork
+from anvilthread.flows.flow_packet import FlowPacket
+from anvilthread.flows.flow_packet_codec import FlowPacketCodec
+from anvilthread.flows.offer import Offer
+from anvilthread.flows.search_messages import Held, NotHeld
+from anvilthread.flows.target_watch import TargetWatch
+from anvilthread.telemetry.log import Log
+
+#: A target returns a packet of a flow that it does not hold at once. A packet
+#: not returned within this time has been accepted.
+_OFFER_TIMEOUT_MS: Final = 40
+
+#: Number of flows offered, and time since the first offer, after which a
+#: target that has sent nothing counts as absent: it would have returned the
+#: packets of flows that it does not hold, and answered the others.
+_MIN_UNANSWERED_OFFERS: Final = 5
+_MIN_UNANSWERED_MS: Final = 500
+
+_MAX_MARK: Final = 0xFFFFFFFF
+
+#: Receives a flow that the local target was found to hold, and the host of
+#: its balancer.
+RecoveryListener = Callable[[FlowKey, str], None]
+
+
+class TargetOffers:
+    """Finds out which flows the local target holds by offering it packets.
+
+    The target returns packets of flows that it does not hold.
+
+    Args:
+        clock: Source of time.
+        network: Sends messages and packets.
+        codec: Codec of the packets.
+        service: Service of the target.
+        target: State of the local target.
+        on_recovery: Called with each flow that the local target is found to
+            hold.
+        log: Receives one line per decision.
+        counters: Counts of decisions.
+    """
+
+    __slots__ = (
+        '_clock',
+        '_codec',
+        '_counters',
+        '_log',
+        '_marks',
+        '_network',
+        '_offers',
+        '_on_recovery',
+        '_service',
+        '_target',
+        '_unanswered_offers',
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        network: FlowNetwork,
+        codec: FlowPacketCodec,
+        service: str,
+        target: TargetWatch,
+        on_recovery: RecoveryListener,
+        log: Log,
+        counters: FlowCounters,
+    ) -> None:
+        self._clock = clock
+        self._network = network
+        self._codec = codec
+        self._service = service
+        self._target = target
+        self._on_recovery = on_recovery
+        self._log = log
+        self._counters = counters
+        self._offers: dict[int, Offer] = {}
+        self._marks = itertools.count(1)
+        #: Time of the first offer of each flow that the target, which has
+        #: sent nothing so far, has not returned.
+        self._unanswered_offers: dict[FlowKey, int] = {}
+
+    def offer(self, packet: FlowPacket, balancer: str) -> None:
+        """Offers a packet to the target to find out whether it holds the flow.
+
+        Args:
+            packet: A packet of the flow.
+            balancer: Host of the balancer that is sent the result.
+        """
+        mark = next(self._marks) & _MAX_MARK
+        self._offers[mark] = Offer(
+            key=packet.key,
+            balancer=balancer,
+            started_ms=self._clock.now_ms(),
+            was_alive=self._target.is_alive,
+        )
+        self._network.send_to_target(self._codec.marked(packet.content, mark))
+        self._event('flow_offered', packet.key, balancer=balancer)
+
+    def on_bounced(self, mark: int) -> bool:
+        """Handles a packet that the target has returned.
+
+        Args:
+            mark: Mark of the packet.
+
+        Returns:
+            Whether the packet was an offer.
+        """
+        offer = self._offers.pop(mark, None)
+        if offer is None:
+            return False
+        self._deny(offer)
+        return True
+
+    def on_reset(self, key: FlowKey) -> None:
+        """Handles a reset by the target for a flow that it does not hold."""
+        for mark, offer in list(self._offers.items()):
+            if offer.key == key:
+                self._offers.pop(mark)
+                self._deny(offer)
+
+    def tick(self) -> None:
+        """Ends offers that have timed out."""
+        now_ms = self._clock.now_ms()
+        for mark, offer in list(self._offers.items()):
+            if now_ms - offer.started_ms <= _OFFER_TIMEOUT_MS:
+                continue
+            if offer.is_due:
+                self._offers.pop(mark)
+                self._resolve(offer)
+            else:
+                # After a pause of this process, packets that the target has
+                # returned are read between this tick and the next one.
+                self._offers[mark] = msgspec.structs.replace(offer, is_due=True)
+
+    def _deny(self, offer: Offer) -> None:
+        self._network.send_to_node(offer.balancer, NotHeld(key=offer.key))
+
+    def _resolve(self, offer: Offer) -> None:
+        """Resolves an offer whose packet the target has not returned."""
+        if offer.was_alive and self._target.is_alive:
+            self._confirm_held(offer)
+            return
+        self._counters.add('offers_unanswered')
+        if self._target.is_overdue or self._is_target_absent(offer):
+            self._deny(offer)
+
+    def _is_target_absent(self, offer: Offer) -> bool:
+        if self._target.was_seen:
+            return False
+        self._unanswered_offers.setdefault(offer.key, offer.started_ms)
+        if len(self._unanswered_offers) < _MIN_UNANSWERED_OFFERS:
+            return False
+        since_ms = min(self._unanswered_offers.values())
+        return self._clock.now_ms() - since_ms >= _MIN_UNANSWERED_MS
+
+    def _confirm_held(self, offer: Offer) -> None:
+        """Reports that the target holds an offered flow."""
+        self._on_recovery(offer.key, offer.balancer)
+        held = Held(key=offer.key, service=self._service)
+        self._network.send_to_node(offer.balancer, held)
+        self._event('flow_recovered', offer.key, balancer=offer.balancer)
+
+    def _event(self, name: str, key: FlowKey, **fields: object) -> None:
+        self._counters.add(name)
+        self._log.event(name, flow=flow_name(key), **fields)
--- a/anvilthread/flows/target_watch.py
+++ b/anvilthread/flows/target_watch.py
@@ -14,6 +14,10 @@
 #: Highest sequence number of a heartbeat from a target that has just started.
 _MAX_FIRST_SEQUENCE: Final = 2
 
+#: Minimum time from the end of a process to the first packet that the next one
+#: delivers; loading the program alone takes 200 ms on the smallest VM.
+_MIN_RESTART_MS: Final = 300
+
 
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True):
     """State of a target, as sent by the target.
@@ -90,6 +94,14 @@
         """Whether the target is about to stop or has stopped."""
         return self._last is not None and self._last.is_draining
 
+    @property
+    def has_departed(self) -> bool:
+        """Whether the target has said that it stops, or stopped while draining.
+
+        It then holds no flow any more.
+        """
+        return self.is_draining and not self.is_alive
+
     @property
     def is_alive(self) -> bool:
         """Whether a heartbeat or packet has arrived recently."""
@@ -131,7 +143,7 @@
 
     @property
     def saw_target_start(self) -> bool:
-        """Whether the target has started while this process was running."""
+        """Whether the target has received no packet before this process ran."""
         return self._saw_target_start
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> bool:
@@ -148,7 +160,7 @@
         if heartbeat.incarnation in self._departed_incarnations:
             return False
         if last is None:
-            self._saw_target_start = heartbeat.sequence <= _MAX_FIRST_SEQUENCE
+            self._saw_target_start = self._has_just_started(heartbeat)
             self._follow(heartbeat)
             return False
         if heartbeat.incarnation != last.incarnation:
@@ -198,6 +210,21 @@
         self._log.event('target_departed', target=target)
         return True
 
+    def _has_just_started(self, heartbeat: Heartbeat) -> bool:
+        """Whether a target has started since this process, or just before.
+
+        A target whose heartbeats are not received sends more of them, so the
+        first one received may have a high number.
+        """
+        if heartbeat.sequence <= _MAX_FIRST_SEQUENCE:
+            return True
+        if heartbeat.cold_ms <= 0 or heartbeat.born_ms <= 0:
+            # The time of day alone may have jumped since the target's start.
+            return False
+        age_ms = self._clock.wall_ms() - heartbeat.born_ms
+        uptime_ms = self._clock.now_ms() - self._started_ms
+        return 0 <= age_ms <= uptime_ms + _MIN_RESTART_MS
+
     def _switch(self, last: Heartbeat, heartbeat: Heartbeat) -> bool:
         """Switches to another incarnation, unless it is an earlier one."""
         if 0 < heartbeat.born_ms < last.born_ms:
