Restart tasks that fail, and refuse a holder that was not asked

Looked for: one unexpected error that ends a part of a process for good. Cause: the followers of configuration and settings, the registration, the sockets and the reports of agents ran in plain greenlets; an unforeseen exception ended them with a trace on standard error and nothing else, so a process kept an old configuration or got no flows. Periodic tasks only were guarded. Change: TaskSupervisor runs all tasks and starts one that failed again after 1 s, with a log line and a counter.

Looked for: an answer of an earlier flow on a port that is used again. Cause: a balancer took any agent's report for the holder of a flow that was just being placed, also of one that holds the port's earlier flow. Change: it counts only from the agents that the flow was placed on. Ruled out on this path: refusals that are not true (a flow is reset before it opens only if no data was sent), retries of requests (none are made).

--- a/anvilthread/flow_node/agent_process.py
+++ b/anvilthread/flow_node/agent_process.py
@@ -2,7 +2,6 @@
 
 from typing import TYPE_CHECKING, Final
 
-import gevent
 
 from anvilthread.flow_node.flow_node_settings import FlowNodeSettings
 from anvilthread.flow_node.flow_process import FlowProcess
@@ -112,9 +111,11 @@
             self._codec.from_target, self._agent.on_target_packet
         )
         self.process.roster.subscribe(self._report_to_new_balancer)
-        self.process.run_periodically(_TICK_MS, self._tick)
-        gevent.spawn(self._report_to_balancers)
-        self.process.run_periodically(_SWEEP_MS, self._agent.condition.sweep)
+        self.process.tasks.run_periodically(_TICK_MS, self._tick)
+        self.process.tasks.run(self._report_to_balancers)
+        self.process.tasks.run_periodically(
+            _SWEEP_MS, self._agent.condition.sweep
+        )
 
     def wait(self) -> None:
         """Waits for SIGTERM; returns once the process may exit."""
--- a/anvilthread/flow_node/balancer_process.py
+++ b/anvilthread/flow_node/balancer_process.py
@@ -77,7 +77,7 @@
             self._codec.from_client, self._balancer.on_packet
         )
         self.process.roster.subscribe(self._balancer.search.on_node_started)
-        self.process.run_periodically(_TICK_MS, self._balancer.tick)
+        self.process.tasks.run_periodically(_TICK_MS, self._balancer.tick)
 
     def wait(self) -> None:
         """Waits for SIGTERM; returns once the process may exit."""
--- a/anvilthread/flow_node/flow_process.py
+++ b/anvilthread/flow_node/flow_process.py
@@ -18,6 +18,7 @@
 from anvilthread.flow_node.flow_node_settings import FlowNodeSettings
 from anvilthread.flow_node.line_log import LineLog
 from anvilthread.flow_node.node_network import NodeNetwork
+from anvilthread.flow_node.task_supervisor import TaskSupervisor
 from anvilthread.flows.configuration_follower import ConfigurationFollower
 from anvilthread.flows.configuration_source import ConfigurationSource
 from anvilthread.flows.directory_client import DirectoryClient
@@ -69,15 +70,16 @@
         'network',
         'packet_socket',
         'random',
-        'reload_requested',
         'roster',
         'routes',
         'settings',
         'stop_requested',
+        'tasks',
         '_follower',
         '_handlers',
         '_node_socket',
         '_peer_messages',
+        '_reload_requested',
     )
 
     def __init__(
@@ -90,9 +92,12 @@
             node=settings.name, clock=self.clock, descriptor=_STDOUT
         )
         self.counters = FlowCounters()
+        self.tasks = TaskSupervisor(
+            clock=self.clock, log=self.log, counters=self.counters
+        )
         self.stop_requested = Event()
         #: Set by SIGHUP; cleared when the settings are read again.
-        self.reload_requested = Event()
+        self._reload_requested = Event()
         self._node_socket = DatagramSocket(
             endpoint=(settings.host, settings.node_port), log=self.log
         )
@@ -172,15 +177,15 @@
         )
         document_server.start()
         gevent.signal_handler(signal.SIGTERM, self.stop_requested.set)
-        gevent.signal_handler(signal.SIGHUP, self.reload_requested.set)
+        gevent.signal_handler(signal.SIGHUP, self._reload_requested.set)
         self._handlers = handlers
-        gevent.spawn(self._node_socket.serve, self._dispatch)
-        gevent.spawn(self._follower.follow_store)
-        gevent.spawn(self._follower.follow_peers)
-        gevent.spawn(directory_client.discover)
-        gevent.spawn(directory_client.register)
-        self.run_periodically(_HELLO_TICK_MS, self.introducer.tick)
-        self.run_periodically(_LOG_FLUSH_MS, self.log.flush)
+        self.tasks.run(partial(self._node_socket.serve, self._dispatch))
+        self.tasks.run(self._follower.follow_store)
+        self.tasks.run(self._follower.follow_peers)
+        self.tasks.run(directory_client.discover)
+        self.tasks.run(directory_client.register)
+        self.tasks.run_periodically(_HELLO_TICK_MS, self.introducer.tick)
+        self.tasks.run_periodically(_LOG_FLUSH_MS, self.log.flush)
         self.log.event(
             'process_started',
             role=settings.role.name.lower(),
@@ -200,11 +205,7 @@
             handle: Handles each decoded packet.
         """
         receive = partial(self._receive_packet, decode, handle)
-        gevent.spawn(self.packet_socket.serve, receive)
-
-    def run_periodically(self, period_ms: int, run: Callable[[], None]) -> None:
-        """Starts a task that calls a function at an interval."""
-        gevent.spawn(self._repeat, period_ms, run)
+        self.tasks.run(partial(self.packet_socket.serve, receive))
 
     def watch_settings(self, load: SettingsLoader) -> None:
         """Reads the settings again on SIGHUP and at an interval, forever.
@@ -216,8 +217,8 @@
             load: Reads the settings file.
         """
         while True:
-            is_signalled = self.reload_requested.wait(_SETTINGS_POLL_S)
-            self.reload_requested.clear()
+            is_signalled = self._reload_requested.wait(_SETTINGS_POLL_S)
+            self._reload_requested.clear()
             loaded = load()
             if isinstance(loaded, Err):
                 self.log.warning(
@@ -264,20 +265,6 @@
         else:
             handle(packet)
 
-    def _repeat(self, period_ms: int, run: Callable[[], None]) -> None:
-        while True:
-            try:
-                run()
-            except Exception as error:  # noqa: BLE001
-                # One failed run must not end the task.
-                self.log.warning(
-                    'periodic_task_failed',
-                    task=run.__qualname__,
-                    reason=repr(error),
-                    remedy='report this line to the maintainers',
-                )
-            self.clock.sleep_ms(period_ms)
-
     def _apply_settings(self, settings: FlowNodeSettings) -> None:
         self.introducer.add_contacts(settings.contacts)
         self.settings = msgspec.structs.replace(
--- a/anvilthread/flows/flow_balancer.py
+++ b/anvilthread/flows/flow_balancer.py
@@ -143,9 +143,12 @@
         flow = self._flows.get(key)
         if flow is None:
             flow = self._flows.add(key, host, message.service)
-        elif flow.is_confirmed and flow.agent != host:
+        elif flow.agent != host and (
+            flow.is_confirmed or host not in flow.tried
+        ):
             # The holder of a flow never changes. An agent whose target has
-            # crashed may mistake its silence for acceptance of an offer.
+            # crashed may mistake its silence for acceptance of an offer, and
+            # another one may hold an earlier flow of the client's port.
             self._event('flow_held_twice', key, agent=host, holder=flow.agent)
             return
         if not flow.is_confirmed and flow.opening_packet:
--- a/tests/flows/test_holder_search.py
+++ b/tests/flows/test_holder_search.py
@@ -7,7 +7,13 @@
 from anvilthread.flows.flow_key import FlowKey, pack_endpoint
 from anvilthread.flows.node_messages import Leaving
 from anvilthread.flows.route_table import Route, RouteTable, ServiceShare
-from anvilthread.flows.search_messages import Ask, Locate, Located, NotHeld
+from anvilthread.flows.search_messages import (
+    Ask,
+    Held,
+    Locate,
+    Located,
+    NotHeld,
+)
 from standins.flow_cluster import (
     SERVICE,
     SERVICE_HOST,
@@ -297,6 +303,35 @@
     assert len(cluster.bodies(key)) == 1
 
 
+def test_earlier_holder_of_a_port_gets_no_packet() -> None:
+    """Guards against an answer that belongs to an earlier flow of a port.
+
+    The port is used again while the target of the earlier flow still holds
+    it, and that target's agent reports it when the new flow is being placed.
+    """
+    cluster = _cluster(agents=3)
+    key = _open(cluster, 1)[0]
+    earlier = cluster.holder(key)
+    host = next(
+        node.record.host for node in cluster.agents if node.target is earlier
+    )
+    balancer = cluster.add_balancer(7)
+    cluster.advance(4000)
+    node = cluster.nodes[host]
+    assert earlier is not None
+    earlier.is_draining = True
+    node.heartbeat()
+    cluster.advance(200)
+    cluster.received.clear()
+    cluster.open(key, balancer)
+    node.send_to_node('10.0.0.8', Held(key=key, service=SERVICE))
+    cluster.advance(30)
+    cluster.request(key, b'second', balancer)
+    cluster.advance(30)
+    assert len(cluster.bodies(key)) == 1
+    assert not cluster.bodies(key)[0].startswith(earlier.name.encode())
+
+
 def test_paused_balancer_resets_no_flow() -> None:
     """Guards against a reset by a balancer whose view of the agents is old."""
     cluster = _cluster(agents=6)
