Let a node that others contacted first ask for the list of peers

Ruled out: searches that missed an agent of the roster; each reset flow had been denied by all agents that the balancer knew. Change: a node asks its contacts until a list has arrived; a node whose record in a list differs from the known one gets a hello at once. After a kill of processes only, no balancer proves absence before it has settled. Result: test_started_agent_is_known_to_all_balancers[True-True] fails before.

--- a/anvilthread/flows/fleet_view.py
+++ b/anvilthread/flows/fleet_view.py
@@ -16,8 +16,8 @@
 #: placed 0.2 s after the start of a process.
 _STARTUP_MS: Final = 800
 
-#: The same if most agents have lost their flows together with this node, so
-#: that there are hardly any flows that an unknown agent could hold.
+#: Time after its start from which a node resets flows if most agents have lost
+#: theirs together with it: an unknown agent hardly holds any.
 _LOSS_STARTUP_MS: Final = 300
 
 #: Pause between two ticks after which the view counts as new. Messages that
@@ -88,10 +88,12 @@
     def proves_absence(self) -> bool:
         """Whether a flow that all possible holders deny is known to be lost.
 
-        A node that hears less than half of the agents may itself be cut off.
+        After a kill of all processes, targets live on with their flows, so a
+        node waits until it has settled. A node that hears less than half of
+        the agents may itself be cut off.
         """
-        startup_ms = _LOSS_STARTUP_MS if self._flows_are_lost else _STARTUP_MS
-        if self._uptime_ms <= startup_ms or not self.knows_agents:
+        is_loss = self._flows_are_lost and self._uptime_ms > _LOSS_STARTUP_MS
+        if not is_loss and not self.is_settled:
             return False
         now_ms = self._clock.now_ms()
         agents = self._roster.all_agents()
--- a/anvilthread/flows/introducer.py
+++ b/anvilthread/flows/introducer.py
@@ -40,6 +40,7 @@
     __slots__ = (
         '_clock',
         '_contacts',
+        '_has_list',
         '_last_exchange_ms',
         '_last_hello_ms',
         '_network',
@@ -63,6 +64,8 @@
         self._roster = roster
         self._routes = routes
         self._contacts: set[str] = set()
+        #: Whether the list of a peer has arrived.
+        self._has_list = False
         self._last_hello_ms = clock.now_ms()
         self._last_exchange_ms = clock.now_ms()
 
@@ -98,15 +101,24 @@
             )
 
     def on_peers(self, message: Peers) -> None:
-        """Sends a hello to every unknown node in the list of a peer."""
+        """Sends a hello to each node of a list that is unknown or differs."""
+        self._has_list = True
         if message.nodes:
             self._roster.record_sender(message.nodes[0])
+        for record in message.nodes:
+            known = self._roster.get(record.host)
+            if known is not None and known.record != record:
+                # The node has restarted, or the list is old; it knows.
+                self._network.send_to_node(
+                    record.host, self._make_hello(wants_peers=False)
+                )
         for node in self._roster.add_unknown(message.nodes):
             self._send_hello(node)
 
     def tick(self) -> None:
         """Sends the hellos that are due; called several times a second."""
-        if self._roster.is_alone:
+        # A node that others have contacted first still needs a list of peers.
+        if self._roster.is_alone or not self._has_list:
             self._send_hellos_to_contacts()
         for node in self._roster.nodes:
             if node.last_seen_ms is None:
--- a/tests/flows/test_discovery.py
+++ b/tests/flows/test_discovery.py
@@ -29,6 +29,39 @@
         assert len(node.roster.balancers()) == balancers
 
 
+@pytest.mark.parametrize('restarts_all', [True, False])
+@pytest.mark.parametrize('is_greeted', [True, False])
+def test_started_agent_is_known_to_all_balancers(
+    restarts_all: bool, is_greeted: bool
+) -> None:
+    """Guards against agents that some balancers learn of a second late.
+
+    Pattern: a kill of all processes. Balancers read the list of nodes in the
+    store and send hellos to agents that have just started; these are no longer
+    alone, and must ask for the other balancers all the same.
+    """
+    cluster = FlowCluster(balancers=6, agents=12)
+    cluster.advance(5000)
+    if restarts_all:
+        for number in range(6):
+            cluster.add_balancer(number)
+        cluster.advance(90)
+    started = []
+    for number in range(12 if restarts_all else 1):
+        started.append(cluster.add_agent(number))
+        if is_greeted:
+            greeter = cluster.balancers[2].introducer
+            greeter.send_hellos([started[-1].record.host])
+        cluster.advance(20)
+    cluster.advance(300)
+    for agent in started:
+        for node in cluster.balancers:
+            known = node.roster.get(agent.record.host)
+            assert known is not None
+            assert known.record == agent.record
+            assert known.report is not None
+
+
 def test_restarted_balancer_serves_within_half_a_second() -> None:
     """Guards against a restarted balancer that waits for periodic messages."""
     cluster = FlowCluster(balancers=3, agents=5)
