Decide offers made before the target has shown a sign of life

Ruled out: agents unknown to the balancer (the holder had been asked). Change: undecided offers are kept, and repeated once the target shows a sign of life, or denied if it is new; packets that the target returns count as such a sign, not only heartbeats; a packet of the target on an offered flow shows at once that it holds it. Result: test_flows_after_a_kill_of_all_processes fails before (3 of 3).

--- a/anvilthread/flows/flow_agent.py
+++ b/anvilthread/flows/flow_agent.py
@@ -208,7 +208,7 @@
             self._on_foreign_reset(packet.key, flow)
             return
         if flow is None:
-            flow = self._flows.add(packet.key, '')
+            flow = self._add_answered_flow(packet.key)
         if not flow.is_open:
             flow.is_open = True
             if flow.balancer:
@@ -309,6 +309,11 @@
             )
         self._network.send_to_target(packet.content)
 
+    def _add_answered_flow(self, key: FlowKey) -> AgentFlow:
+        """Adds a flow that is first seen in a packet from the target."""
+        self._offers.on_answer(key)
+        return self._flows.get(key) or self._flows.add(key, '')
+
     def _recover_flow(self, key: FlowKey, balancer: str) -> None:
         """Adds a flow whose offered packet the target has accepted."""
         flow = self._flows.get(key)
--- a/anvilthread/flows/offer.py
+++ b/anvilthread/flows/offer.py
@@ -2,14 +2,14 @@
 
 import msgspec
 
-from anvilthread.flows.flow_key import FlowKey
+from anvilthread.flows.flow_packet import FlowPacket
 
 
 class Offer(msgspec.Struct, frozen=True, kw_only=True, gc=False):
     """A query to the target whether it holds a flow.
 
     Attributes:
-        key: The flow.
+        packet: The packet of the flow.
         balancer: Host of the balancer that searches for the holder.
         started_ms: Time of the offer.
         was_alive: Whether the target was alive at the time of the offer. A
@@ -18,7 +18,7 @@
         is_due: Whether the offer had timed out at the last tick.
     """
 
-    key: FlowKey
+    packet: FlowPacket
     balancer: str
     started_ms: int
     was_alive: bool
--- a/anvilthread/flows/target_offers.py
+++ b/anvilthread/flows/target_offers.py
@@ -27,6 +27,11 @@
 _MIN_UNANSWERED_OFFERS: Final = 5
 _MIN_UNANSWERED_MS: Final = 500
 
+#: Undecided offers kept until the target shows a sign of life, and their
+#: maximum age: a client gives up within some seconds.
+_MAX_UNDECIDED: Final = 500
+_MAX_UNDECIDED_MS: Final = 3000
+
 _MAX_MARK: Final = 0xFFFFFFFF
 
 #: Receives a flow that the local target was found to hold, and the host of
@@ -63,6 +68,7 @@
         '_service',
         '_target',
         '_unanswered_offers',
+        '_undecided',
     )
 
     def __init__(
@@ -86,6 +92,9 @@
         self._log = log
         self._counters = counters
         self._offers: dict[int, Offer] = {}
+        #: Last offer of each flow that says nothing, since the target may not
+        #: have been running.
+        self._undecided: dict[FlowKey, Offer] = {}
         self._marks = itertools.count(1)
         #: Time of the first offer of each flow that the target, which has
         #: sent nothing so far, has not returned.
@@ -100,7 +109,7 @@
         """
         mark = next(self._marks) & _MAX_MARK
         self._offers[mark] = Offer(
-            key=packet.key,
+            packet=packet,
             balancer=balancer,
             started_ms=self._clock.now_ms(),
             was_alive=self._target.is_alive,
@@ -126,13 +135,22 @@
     def on_reset(self, key: FlowKey) -> None:
         """Handles a reset by the target for a flow that it does not hold."""
         for mark, offer in list(self._offers.items()):
-            if offer.key == key:
+            if offer.packet.key == key:
                 self._offers.pop(mark)
                 self._deny(offer)
 
+    def on_answer(self, key: FlowKey) -> None:
+        """Handles a packet by which the target shows that it holds a flow."""
+        for mark, offer in list(self._offers.items()):
+            if offer.packet.key == key:
+                self._offers.pop(mark)
+                self._confirm_held(offer)
+
     def tick(self) -> None:
-        """Ends offers that have timed out."""
+        """Ends offers that have timed out, and repeats undecided ones."""
         now_ms = self._clock.now_ms()
+        if self._undecided and self._target.is_alive:
+            self._decide()
         for mark, offer in list(self._offers.items()):
             if now_ms - offer.started_ms <= _OFFER_TIMEOUT_MS:
                 continue
@@ -145,7 +163,9 @@
                 self._offers[mark] = msgspec.structs.replace(offer, is_due=True)
 
     def _deny(self, offer: Offer) -> None:
-        self._network.send_to_node(offer.balancer, NotHeld(key=offer.key))
+        self._network.send_to_node(
+            offer.balancer, NotHeld(key=offer.packet.key)
+        )
 
     def _resolve(self, offer: Offer) -> None:
         """Resolves an offer whose packet the target has not returned."""
@@ -155,11 +175,25 @@
         self._counters.add('offers_unanswered')
         if self._target.is_overdue or self._is_target_absent(offer):
             self._deny(offer)
+        elif len(self._undecided) < _MAX_UNDECIDED:
+            self._undecided[offer.packet.key] = offer
+
+    def _decide(self) -> None:
+        """Decides offers made before the target had shown any sign of life."""
+        offers, self._undecided = self._undecided, {}
+        oldest_ms = self._clock.now_ms() - _MAX_UNDECIDED_MS
+        for offer in offers.values():
+            if offer.started_ms < oldest_ms:
+                continue
+            if self._target.saw_target_start:
+                self._deny(offer)
+            else:
+                self.offer(offer.packet, offer.balancer)
 
     def _is_target_absent(self, offer: Offer) -> bool:
         if self._target.was_seen:
             return False
-        self._unanswered_offers.setdefault(offer.key, offer.started_ms)
+        self._unanswered_offers.setdefault(offer.packet.key, offer.started_ms)
         if len(self._unanswered_offers) < _MIN_UNANSWERED_OFFERS:
             return False
         since_ms = min(self._unanswered_offers.values())
@@ -167,10 +201,10 @@
 
     def _confirm_held(self, offer: Offer) -> None:
         """Reports that the target holds an offered flow."""
-        self._on_recovery(offer.key, offer.balancer)
-        held = Held(key=offer.key, service=self._service)
+        self._on_recovery(offer.packet.key, offer.balancer)
+        held = Held(key=offer.packet.key, service=self._service)
         self._network.send_to_node(offer.balancer, held)
-        self._event('flow_recovered', offer.key, balancer=offer.balancer)
+        self._event('flow_recovered', offer.packet.key, balancer=offer.balancer)
 
     def _event(self, name: str, key: FlowKey, **fields: object) -> None:
         self._counters.add(name)
--- a/anvilthread/flows/target_watch.py
+++ b/anvilthread/flows/target_watch.py
@@ -105,9 +105,7 @@
     @property
     def is_alive(self) -> bool:
         """Whether a heartbeat or packet has arrived recently."""
-        if self._last is None:
-            return False
-        return (
+        return self.was_seen and (
             self._clock.now_ms() - self._last_seen_ms
             <= self._silence_timeout_ms
         )
--- a/standins/flow_cluster.py
+++ b/standins/flow_cluster.py
@@ -277,8 +277,20 @@
         """Starts a balancer, in place of an earlier process if any."""
         return self._add(f'10.0.0.{number + 1}', NodeRole.BALANCER, '')
 
-    def add_agent(self, number: int, service: str = SERVICE) -> FlowNode:
-        """Starts an agent; an existing target of the service keeps running."""
+    def add_agent(
+        self,
+        number: int,
+        service: str = SERVICE,
+        *,
+        sends_heartbeat: bool = True,
+    ) -> FlowNode:
+        """Starts an agent; an existing target of the service keeps running.
+
+        Args:
+            number: Number of its VM.
+            service: Service of the target.
+            sends_heartbeat: Whether the target sends a heartbeat at once.
+        """
         host = f'10.0.1.{number + 1}'
         previous = self.nodes.get(host)
         target = None if previous is None else previous.target
@@ -290,7 +302,8 @@
             )
         node = self._add(host, NodeRole.AGENT, service)
         node.target = target
-        node.heartbeat()
+        if sends_heartbeat:
+            node.heartbeat()
         return node
 
     def send(self, sender: str, host: str, content: bytes) -> None:
--- a/tests/flows/test_holder_search.py
+++ b/tests/flows/test_holder_search.py
@@ -15,6 +15,7 @@
     NotHeld,
 )
 from standins.flow_cluster import (
+    HEARTBEAT_MS,
     SERVICE,
     SERVICE_HOST,
     SERVICE_PORT,
@@ -272,6 +273,32 @@
     assert _questions(cluster) - before <= 8 * len(keys) + 8 * agents
 
 
+@pytest.mark.parametrize('silence_ms', [0, 400, 900])
+def test_flows_after_a_kill_of_all_processes(silence_ms: int) -> None:
+    """Guards against clients that wait although their targets hold the flows.
+
+    Pattern: all processes are killed, the targets live on, and their next
+    heartbeats come up to one interval after the start of their agents.
+    """
+    cluster = _cluster(agents=10)
+    keys = _open(cluster, 60)
+    phase_ms = cluster.clock.now_ms() % HEARTBEAT_MS
+    cluster.advance(HEARTBEAT_MS - phase_ms + HEARTBEAT_MS - silence_ms - 300)
+    for number in range(2):
+        cluster.add_balancer(number)
+    for number in range(10):
+        cluster.add_agent(number, sends_heartbeat=False)
+    cluster.advance(100)
+    for _ in range(4):
+        for key in keys:
+            if len(cluster.bodies(key)) == 1:
+                cluster.request(key, b'next')
+        cluster.advance(200)
+    for key in keys:
+        assert not cluster.is_reset(key)
+        assert len(cluster.bodies(key)) == 2
+
+
 def test_denied_flow_is_reset_again_without_a_search() -> None:
     """Guards against a new search for each packet of a lost flow."""
     cluster = _cluster(agents=20)
