--- a/anvilthread/flows/flow_agent.py
+++ b/anvilthread/flows/flow_agent.py
@@ -207,8 +207,8 @@
         if packet.is_reset and (flow is None or not flow.is_open):
             self._on_foreign_reset(packet.key, flow)
             return
-        if flow is None:
-            flow = self._add_answered_flow(packet.key)
+        self._offers.on_answer(packet.key)
+        flow = self._flows.get(packet.key) or self._flows.add(packet.key, '')
         if not flow.is_open:
             flow.is_open = True
             if flow.balancer:
@@ -309,11 +309,6 @@
             )
         self._network.send_to_target(packet.content)
 
-    def _add_answered_flow(self, key: FlowKey) -> AgentFlow:
-        """Adds a flow that is first seen in a packet from the target."""
-        self._offers.on_answer(key)
-        return self._flows.get(key) or self._flows.add(key, '')
-
     def _recover_flow(self, key: FlowKey, balancer: str) -> None:
         """Adds a flow whose offered packet the target has accepted."""
         flow = self._flows.get(key)
