Let the hellos that a node receives stay the same as the fleet grows

Cause: each balancer sent a hello to each node every second, and each node asked a peer for its list, of one message per 16 nodes, every second. Change: the period grows with the number of known nodes, 25 ms each; a node counts as recent for three periods, and agents report to a balancer for five periods after its last hello. A node that starts does not wait for either: it asks its contacts until a list has arrived. Ruled out: a shorter life of the reports to balancers; they end searches.

--- a/anvilthread/flow_node/agent_process.py
+++ b/anvilthread/flow_node/agent_process.py
@@ -11,7 +11,7 @@
 from anvilthread.flows.known_node import KnownNode
 from anvilthread.flows.node_directory import NodeDirectory
 from anvilthread.flows.node_record import NodeRole
-from anvilthread.flows.report_period import balancer_period_ms
+from anvilthread.flows.message_periods import balancer_period_ms
 from anvilthread.flows.target_watch import Heartbeat, TargetWatch
 
 if TYPE_CHECKING:
@@ -27,9 +27,8 @@
 #: Interval at which ended flows and unanswered requests are removed.
 _SWEEP_MS: Final = 1000
 
-#: Balancers that were silent for longer get no reports; a running balancer
-#: sends a hello every second.
-_BALANCER_TIMEOUT_MS: Final = 5000
+#: Hello periods after which a silent balancer gets no reports.
+_BALANCER_TIMEOUT_PERIODS: Final = 5
 
 #: Longest wait after SIGTERM for requests in progress.
 _FINISH_TIMEOUT_MS: Final = 400
@@ -160,12 +159,11 @@
             period_ms = balancer_period_ms(agents)
             report = self._agent.condition.report(period_ms)
             now_ms = process.clock.now_ms()
+            hello_period_ms = process.roster.hello_period_ms
+            timeout_ms = _BALANCER_TIMEOUT_PERIODS * hello_period_ms
             for node in process.roster.balancers():
                 last_seen_ms = node.last_seen_ms
-                if (
-                    last_seen_ms
-                    and now_ms - last_seen_ms <= _BALANCER_TIMEOUT_MS
-                ):
+                if last_seen_ms and now_ms - last_seen_ms <= timeout_ms:
                     process.network.send_to_node(node.host, report)
             process.clock.sleep_ms(period_ms)
 
--- a/anvilthread/flows/introducer.py
+++ b/anvilthread/flows/introducer.py
@@ -12,13 +12,6 @@
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
 
-#: Time between two hellos of a balancer to a node. Agents stop reporting to
-#: balancers from which several of these are missing.
-_HELLO_INTERVAL_MS: Final = 1000
-
-#: Time between two exchanges of the list of nodes with a random peer.
-_EXCHANGE_INTERVAL_MS: Final = 1000
-
 #: Records take up to 65 bytes each, and a message at most 1,200 bytes.
 _MAX_RECORDS_PER_MESSAGE: Final = 16
 
@@ -124,11 +117,12 @@
             if node.last_seen_ms is None:
                 self._send_hello(node)
         now_ms = self._clock.now_ms()
-        if now_ms - self._last_exchange_ms >= _EXCHANGE_INTERVAL_MS:
+        period_ms = self._roster.hello_period_ms
+        if now_ms - self._last_exchange_ms >= period_ms:
             self._last_exchange_ms = now_ms
             self._exchange()
         is_balancer = self._roster.local_node.role == NodeRole.BALANCER
-        if is_balancer and now_ms - self._last_hello_ms >= _HELLO_INTERVAL_MS:
+        if is_balancer and now_ms - self._last_hello_ms >= period_ms:
             self._last_hello_ms = now_ms
             self.announce()
         self._roster.remove_silent()
--- a/anvilthread/flows/roster.py
+++ b/anvilthread/flows/roster.py
@@ -5,12 +5,14 @@
 
 from anvilthread.clock import Clock
 from anvilthread.flows.known_node import KnownNode
+from anvilthread.flows.message_periods import hello_period_ms
 from anvilthread.flows.node_messages import LoadReport
 from anvilthread.flows.node_record import NodeRecord, NodeRole
 from anvilthread.telemetry.log import Log
 
-#: Maximum age of a peer's last message at which it is sent to other nodes.
-_MAX_SHARED_AGE_MS: Final = 3000
+#: Hello periods without a message from a peer after which it is not sent to
+#: other nodes.
+_SHARED_HELLO_PERIODS: Final = 3
 
 #: Silence after which a peer is removed: longer than a restart, and than any
 #: partition that a flow can survive (flows live 60 s at most).
@@ -95,6 +97,11 @@
         """Number of agents of all services."""
         return len(self.all_agents())
 
+    @property
+    def hello_period_ms(self) -> int:
+        """Time between hellos of a balancer, by the number of known nodes."""
+        return hello_period_ms(len(self._nodes) + 1)
+
     def balancers(self) -> list[KnownNode]:
         """Returns all balancers."""
         return [
@@ -157,7 +164,8 @@
 
     def recent_records(self) -> list[NodeRecord]:
         """Returns this node, followed by the peers with recent messages."""
-        since_ms = self._clock.now_ms() - _MAX_SHARED_AGE_MS
+        max_age_ms = _SHARED_HELLO_PERIODS * self.hello_period_ms
+        since_ms = self._clock.now_ms() - max_age_ms
         records = [
             node.record
             for node in self._nodes.values()
--- a/tests/flows/test_discovery.py
+++ b/tests/flows/test_discovery.py
@@ -11,6 +11,7 @@
 from anvilthread.flows.directory_client import DirectoryClient
 from anvilthread.flows.introducer import Introducer
 from anvilthread.flows.messages import AnyMessage
+from anvilthread.flows.node_messages import Hello, Peers
 from anvilthread.flows.node_record import NodeRecord, NodeRole
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
@@ -62,6 +63,24 @@
             assert known.report is not None
 
 
+def _hellos_per_node(balancers: int, agents: int) -> float:
+    """Returns the hellos and lists that a node receives per second."""
+    cluster = FlowCluster(balancers=balancers, agents=agents)
+    cluster.advance(2000)
+    before = cluster.sent[Hello] + cluster.sent[Peers]
+    cluster.advance(6000)
+    sent = cluster.sent[Hello] + cluster.sent[Peers] - before
+    return sent / 6 / (balancers + agents)
+
+
+def test_hellos_do_not_grow_with_the_fleet() -> None:
+    """Guards against greetings that use up the processor of small balancers.
+
+    Pattern: hundreds of nodes that all know each other. Flat means 20%.
+    """
+    assert _hellos_per_node(32, 83) <= 1.2 * _hellos_per_node(22, 57)
+
+
 def test_restarted_balancer_serves_within_half_a_second() -> None:
     """Guards against a restarted balancer that waits for periodic messages."""
     cluster = FlowCluster(balancers=3, agents=5)
--- a/tests/flows/test_load_patterns.py
+++ b/tests/flows/test_load_patterns.py
@@ -8,7 +8,7 @@
 from anvilthread.flows.flow_placement import FlowPlacement
 from anvilthread.flows.node_messages import LoadReport
 from anvilthread.flows.node_record import NodeRecord, NodeRole
-from anvilthread.flows.report_period import balancer_period_ms
+from anvilthread.flows.message_periods import balancer_period_ms
 from anvilthread.flows.roster import Roster
 from anvilthread.telemetry.memory_log import MemoryLog
 from standins.flow_cluster import flow_key
