Probe the local target, so that agents without one hide no loss

Ruled out: candidates (found in 1 to 84 ms) and the rate of questions. Change: an agent connects once to its target's health check port when it starts, and when it stops without having heard it; no request is sent. A refused connection shows that no target runs: flows are denied, new ones refused, and it does not announce a return. An accepted one counts as a sign of life, so that offers are conclusive before the first heartbeat. Result: test_agents_without_targets_hide_no_loss[True] is the case in virtual time.

--- a/anvilthread/flow_node/agent_process.py
+++ b/anvilthread/flow_node/agent_process.py
@@ -5,6 +5,7 @@
 
 from anvilthread.flow_node.flow_node_settings import FlowNodeSettings
 from anvilthread.flow_node.flow_process import FlowProcess
+from anvilthread.flow_node.target_probe import is_listening
 from anvilthread.flows.configuration_source import ConfigurationSource
 from anvilthread.flows.flow_agent import FlowAgent
 from anvilthread.flows.flow_packet_codec import FlowPacketCodec
@@ -111,6 +112,7 @@
         )
         self.process.roster.subscribe(self._report_to_new_balancer)
         self.process.tasks.run_periodically(_TICK_MS, self._tick)
+        self.process.tasks.run(self._probe_target)
         self.process.tasks.run(self._report_to_balancers)
         self.process.tasks.run_periodically(
             _SWEEP_MS, self._agent.condition.sweep
@@ -122,6 +124,8 @@
         process.stop_requested.wait()
         self._agent.condition.stop()
         process.log.event('process_stopping', flows=len(self._agent.flows))
+        if not self._target.is_alive:
+            self._probe_target()
         process.leave(returns=not self._target.has_departed)
         started_ms = process.clock.now_ms()
         while self._agent.flows.meter.working:
@@ -145,6 +149,16 @@
         if self._agent.on_departure(target):
             self._report_to_all_balancers()
 
+    def _probe_target(self) -> None:
+        """Finds out whether a target runs before its first heartbeat.
+
+        After a loss of power, agents start beside targets that do not return.
+        """
+        endpoint = self.process.settings.target_address
+        listens = None if endpoint is None else is_listening(endpoint)
+        if listens is not None:
+            self._target.on_probe(is_listening=listens)
+
     def _tick(self) -> None:
         self._agent.tick()
         is_failing = self._agent.condition.health.is_failing
--- a/anvilthread/flows/agent_condition.py
+++ b/anvilthread/flows/agent_condition.py
@@ -123,7 +123,8 @@
             check_age_ms=self._routes.check_age_ms,
             is_failing=self._health.is_failing,
             uptime_ms=self._clock.now_ms() - self._started_ms,
-            has_new_target=self._target.saw_target_start,
+            has_new_target=self._target.saw_target_start
+            or self._target.is_absent,
         )
 
     def record_opening(self, key: FlowKey) -> None:
--- a/anvilthread/flows/flow_agent.py
+++ b/anvilthread/flows/flow_agent.py
@@ -133,7 +133,7 @@
     @property
     def is_complete(self) -> bool:
         """Whether every flow of the target is in the table."""
-        if self._target.saw_target_start:
+        if self._target.saw_target_start or self._target.is_absent:
             return True
         uptime_ms = self._clock.now_ms() - self._started_ms
         return uptime_ms > self._routes.table.idle_ms
--- a/anvilthread/flows/target_offers.py
+++ b/anvilthread/flows/target_offers.py
@@ -149,7 +149,7 @@
     def tick(self) -> None:
         """Ends offers that have timed out, and repeats undecided ones."""
         now_ms = self._clock.now_ms()
-        if self._undecided and self._target.is_alive:
+        if self._target.is_alive or self._target.is_absent:
             self._decide()
         for mark, offer in list(self._offers.items()):
             if now_ms - offer.started_ms <= _OFFER_TIMEOUT_MS:
@@ -173,7 +173,12 @@
             self._confirm_held(offer)
             return
         self._counters.add('offers_unanswered')
-        if self._target.is_overdue or self._is_target_absent(offer):
+        target = self._target
+        if (
+            target.is_absent
+            or target.is_overdue
+            or self._is_target_absent(offer)
+        ):
             self._deny(offer)
         elif len(self._undecided) < _MAX_UNDECIDED:
             self._undecided[offer.packet.key] = offer
@@ -185,7 +190,7 @@
         for offer in offers.values():
             if offer.started_ms < oldest_ms:
                 continue
-            if self._target.saw_target_start:
+            if self._target.saw_target_start or self._target.is_absent:
                 self._deny(offer)
             else:
                 self.offer(offer.packet, offer.balancer)
--- a/anvilthread/flows/target_watch.py
+++ b/anvilthread/flows/target_watch.py
@@ -60,6 +60,7 @@
         '_clock',
         '_cold_until_ms',
         '_departed_incarnations',
+        '_is_absent',
         '_last',
         '_last_seen_ms',
         '_log',
@@ -78,6 +79,7 @@
         self._departed_incarnations: set[tuple[str, int]] = set()
         self._started_ms = clock.now_ms()
         self._saw_target_start = False
+        self._is_absent = False
 
     @property
     def slots(self) -> int:
@@ -100,8 +102,15 @@
 
         It then holds no flow any more.
         """
+        if self._is_absent:
+            return True
         return self.is_draining and not self.is_alive
 
+    @property
+    def is_absent(self) -> bool:
+        """Whether no target has been running since this process started."""
+        return self._is_absent
+
     @property
     def is_alive(self) -> bool:
         """Whether a heartbeat or packet has arrived recently."""
@@ -133,7 +142,7 @@
         opening packet that it does not answer is placed on another agent.
         """
         if self._last is None:
-            return (
+            return not self._is_absent and (
                 self._clock.now_ms() - self._started_ms
                 <= self._silence_timeout_ms
             )
@@ -159,6 +168,7 @@
             return False
         if last is None:
             self._saw_target_start = self._has_just_started(heartbeat)
+            self._is_absent = False
             self._follow(heartbeat)
             return False
         if heartbeat.incarnation != last.incarnation:
@@ -184,8 +194,17 @@
         self._last_seen_ms = self._clock.now_ms()
         return False
 
+    def on_probe(self, *, is_listening: bool) -> None:
+        """Handles a probe that shows whether a target runs on this VM."""
+        if is_listening:
+            self._last_seen_ms = self._clock.now_ms()
+        elif not self.was_seen:
+            self._is_absent = True
+        self._log.event('target_probed', is_listening=is_listening)
+
     def on_packet(self) -> None:
         """Records that the target has sent or returned a packet."""
+        self._is_absent = False
         self._last_seen_ms = self._clock.now_ms()
 
     def on_departure(self, target: str) -> bool:
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -10,6 +10,7 @@
 import gevent
 import msgspec
 from gevent import socket
+from gevent.server import StreamServer
 
 from standins.platform_packet import (
     ACK,
@@ -89,6 +90,11 @@
         self._is_draining = False
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((host, ports['app']))
+        # Health checks come over TCP; nobody sends one here.
+        self._health_server = StreamServer(
+            (host, ports['app']), lambda connection, _: connection.close()
+        )
+        self._health_server.start()
         self._tasks = [
             gevent.spawn(self._receive),
             gevent.spawn(self._send_heartbeats),
@@ -108,6 +114,7 @@
         """Stops at once and loses every flow."""
         gevent.killall(self._tasks)
         self._socket.close()
+        self._health_server.stop()
         self.flows.clear()
 
     def _receive(self) -> None:
--- a/tests/flows/test_holder_search.py
+++ b/tests/flows/test_holder_search.py
@@ -299,6 +299,39 @@
         assert len(cluster.bodies(key)) == 2
 
 
+@pytest.mark.parametrize('vanishes', [True, False])
+def test_agents_without_targets_hide_no_loss(vanishes: bool) -> None:
+    """Guards against clients that wait for agents beside no target.
+
+    Pattern: a power loss in the middle of a release. The drained targets do
+    not return, and their VMs are taken away one after the other.
+    """
+    cluster = _cluster(agents=12)
+    keys = _open(cluster, 40)
+    cluster.add_balancer(0)
+    absent = []
+    for number in range(12):
+        target = cluster.nodes.pop(f'10.0.1.{number + 1}').target
+        assert target is not None
+        node = cluster.add_agent(number, sends_heartbeat=number > 3)
+        if number <= 3:
+            assert node.target is not None
+            node.target.is_up = False
+            node.watch.on_probe(is_listening=False)
+            absent.append(node)
+    for step in range(8):
+        _request(cluster, keys, cluster.balancers[0])
+        cluster.advance(200)
+        if vanishes and step % 2 == 0 and absent:
+            node = absent.pop()
+            returns = not node.watch.has_departed
+            leaving = Leaving(node=node.record, returns=returns)
+            node.send_to_node('10.0.0.1', leaving)
+            cluster.advance(2)
+            node.is_up = False
+    assert all(cluster.is_reset(key) for key in keys)
+
+
 def test_denied_flow_is_reset_again_without_a_search() -> None:
     """Guards against a new search for each packet of a lost flow."""
     cluster = _cluster(agents=20)
--- a/tests/flows/test_target_watch.py
+++ b/tests/flows/test_target_watch.py
@@ -161,3 +161,34 @@
     clock.advance(200)
     watch.on_heartbeat(_heartbeat(sequence, born_ms=born_ms, cold_ms=cold_ms))
     assert watch.saw_target_start == saw_start
+
+
+@pytest.mark.parametrize(
+    ('sign', 'is_listening', 'is_absent'),
+    [
+        (None, False, True),
+        (None, True, False),
+        ('heartbeat', False, False),
+        ('packet', False, False),
+    ],
+)
+def test_probe_shows_an_absent_target(
+    sign: str | None, is_listening: bool, is_absent: bool
+) -> None:
+    """Guards against agents that wait for a target that does not return.
+
+    Pattern: a power loss; the targets of some agents had been drained before.
+    """
+    watch, _ = _watch()
+    if sign == 'heartbeat':
+        watch.on_heartbeat(_heartbeat(1))
+    elif sign == 'packet':
+        watch.on_packet()
+    watch.on_probe(is_listening=is_listening)
+    assert watch.is_absent == is_absent
+    assert watch.has_departed == is_absent
+    assert watch.accepts != is_absent
+    # A target that starts later ends the absence.
+    watch.on_heartbeat(_heartbeat(2))
+    assert not watch.is_absent
+    assert watch.accepts
