Send an agent that has restarted the last packets of its flows

Cause: node_kill on side machines. If the target died too, its clients were not told either. Ruled out: resets by silence, which would break live flows. Change: a balancer keeps the last packet with data of each flow, and sends those of the last 3 s again when the agent's next process is heard. A target that has received one takes it for a retransmission; one that has lost the flow returns it, and the search that follows ends in a reset. The target stand-in now recognises retransmissions by their sequence number, as targets do; before, it answered each of them.

--- a/anvilthread/flow_node/balancer_process.py
+++ b/anvilthread/flow_node/balancer_process.py
@@ -76,7 +76,7 @@
         self.process.serve_packets(
             self._codec.from_client, self._balancer.on_packet
         )
-        self.process.roster.subscribe(self._balancer.search.on_node_started)
+        self.process.roster.subscribe(self._balancer.on_node_started)
         self.process.tasks.run_periodically(_TICK_MS, self._balancer.tick)
 
     def wait(self) -> None:
--- a/anvilthread/flows/balancer_flow.py
+++ b/anvilthread/flows/balancer_flow.py
@@ -18,6 +18,8 @@
         'is_closing',
         'is_confirmed',
         'key',
+        'last_data',
+        'last_data_ms',
         'last_packet_ms',
         'opening_packet',
         'placed_ms',
@@ -40,5 +42,9 @@
         self.opening_packet = b''
         #: Hosts of agents that have refused the flow or not answered.
         self.tried: set[str] = set()
+        #: Last packet of the client with data, and its time, to be sent again
+        #: if the agent restarts.
+        self.last_data = b''
+        self.last_data_ms = now_ms
         self.placed_ms = now_ms
         self.last_packet_ms = now_ms
--- a/anvilthread/flows/balancer_flow_table.py
+++ b/anvilthread/flows/balancer_flow_table.py
@@ -46,6 +46,10 @@
         """Returns a flow; None if it is unknown."""
         return self._flows.get(key)
 
+    def of_agent(self, host: str) -> list[BalancerFlow]:
+        """Returns the flows of an agent."""
+        return [flow for flow in self._flows.values() if flow.agent == host]
+
     def add(self, key: FlowKey, agent: str, service: str) -> BalancerFlow:
         """Adds a flow; replaces an earlier one with the same key.
 
--- a/anvilthread/flows/flow_balancer.py
+++ b/anvilthread/flows/flow_balancer.py
@@ -14,6 +14,7 @@
 from anvilthread.flows.flow_packet_codec import FlowPacketCodec
 from anvilthread.flows.flow_placement import FlowPlacement
 from anvilthread.flows.holder_search import HolderSearch
+from anvilthread.flows.known_node import KnownNode
 from anvilthread.flows.latency_buckets import LatencyBuckets
 from anvilthread.flows.messages import MessageHandlers
 from anvilthread.flows.packet_messages import Forward, Place, Refused
@@ -37,6 +38,10 @@
 #: is guaranteed to be in force.
 _FRESH_CHECK_MS: Final = 2500
 
+#: Maximum age of a packet that is sent again to an agent that has restarted;
+#: clients wait up to 2.8 s for an answer on the deployments known.
+_MAX_RESENT_AGE_MS: Final = 3000
+
 
 class FlowBalancer:
     """Sends packets of clients to the agents that hold their flows.
@@ -192,6 +197,22 @@
         )
         self._place_again(packet, flow, message.reason)
 
+    def on_node_started(self, node: KnownNode) -> None:
+        """Sends an agent that has restarted the last packets of its flows.
+
+        Packets that were sent while it was down are lost. Clients retransmit
+        after up to 1.6 s, often later than their deadlines. A target that has
+        received a packet before takes it for a retransmission.
+        """
+        self._search.on_node_started(node)
+        oldest_ms = self._clock.now_ms() - _MAX_RESENT_AGE_MS
+        for flow in self._flows.of_agent(node.host):
+            is_recent = flow.last_data_ms >= oldest_ms and flow.last_data
+            if flow.is_confirmed and is_recent and not flow.is_closing:
+                message = Forward(packet=flow.last_data, service=flow.service)
+                self._network.send_to_node(node.host, message)
+                self._counters.add('packets_resent')
+
     def tick(self) -> None:
         """Continues placements and searches, and removes expired flows."""
         now_ms = self._clock.now_ms()
@@ -311,6 +332,9 @@
         flow.last_packet_ms = self._clock.now_ms()
         if packet.is_fin or packet.is_reset:
             flow.is_closing = True
+        if packet.size:
+            flow.last_data = packet.content
+            flow.last_data_ms = flow.last_packet_ms
         message = Forward(packet=packet.content, service=flow.service)
         self._network.send_to_node(flow.agent, message)
 
--- a/standins/flow_cluster.py
+++ b/standins/flow_cluster.py
@@ -193,7 +193,7 @@
             fleet=FleetView(clock=clock, roster=self.roster),
             **parts,
         )
-        self.roster.subscribe(self.balancer.search.on_node_started)
+        self.roster.subscribe(self.balancer.on_node_started)
         self._handlers = self.balancer.handlers
 
     def _send_reports(self) -> None:
@@ -245,6 +245,7 @@
         self.nodes: dict[str, FlowNode] = {}
         #: Number of messages sent between nodes, by type.
         self.sent: Counter[type] = Counter()
+        self._sequences: Counter[FlowKey] = Counter()
         self._queue: list[tuple[int, int, Callable[[], None]]] = []
         self._order = itertools.count()
         self._incarnations = itertools.count(1)
@@ -344,10 +345,19 @@
         self.send_packet(packet, balancer)
 
     def request(
-        self, key: FlowKey, body: bytes, balancer: FlowNode | None = None
+        self,
+        key: FlowKey,
+        body: bytes,
+        balancer: FlowNode | None = None,
+        *,
+        is_copy: bool = False,
     ) -> None:
-        """Sends a request on an open flow."""
-        self.send_packet(PlainPacket(key=key, flags='A', body=body), balancer)
+        """Sends a request on an open flow, or retransmits the last one."""
+        self._sequences[key] += not is_copy
+        packet = PlainPacket(
+            key=key, flags='A', body=body, sequence=self._sequences[key]
+        )
+        self.send_packet(packet, balancer)
 
     def packets(self, key: FlowKey) -> list[PlainPacket]:
         """Returns what the client of a flow has received."""
--- a/standins/flow_target.py
+++ b/standins/flow_target.py
@@ -1,5 +1,7 @@
 """A simulated flow target for tests in virtual time."""
 
+from collections import Counter
+
 import msgspec
 
 from standins.plain_packet_codec import (
@@ -38,6 +40,7 @@
         self.sequence = 0
         #: Number of requests received, by flow.
         self.flows: dict[bytes, int] = {}
+        self._received: Counter[bytes] = Counter()
         #: Keys of opening packets, bodies of requests and keys of bounced
         #: packets, each in order of arrival.
         self.opened: list[bytes] = []
@@ -61,8 +64,10 @@
         if 'F' in packet.flags or 'R' in packet.flags:
             self.flows.pop(packet.key)
             return encode_packet(PlainPacket(key=packet.key, flags='AF'))
-        if not packet.body:
+        if not packet.body or packet.sequence <= self._received[packet.key]:
+            # A retransmission of a request that is running or was answered.
             return None
+        self._received[packet.key] = packet.sequence
         self.flows[packet.key] += 1
         self.served.append(packet.body)
         if not self.answers:
@@ -82,6 +87,7 @@
             if len(self.flows) >= self.max_flows:
                 return self._bounce(packet)
             self.flows[packet.key] = 0
+            self._received.pop(packet.key, None)
         return encode_packet(PlainPacket(key=packet.key, flags='SA'))
 
     def _answer(self, body: bytes) -> bytes:
--- a/tests/flows/test_flows.py
+++ b/tests/flows/test_flows.py
@@ -592,3 +592,39 @@
     for number in range(15):
         is_held = is_back and flow_key(number) in target.flows
         assert cluster.is_reset(flow_key(number)) != is_held
+
+
+@pytest.mark.parametrize('target_lives', [True, False])
+@pytest.mark.parametrize('down_ms', [700, 1650])
+def test_requests_sent_while_an_agent_is_down(
+    target_lives: bool, down_ms: int
+) -> None:
+    """Guards against requests that wait for a late retransmission.
+
+    Pattern: nodes beside targets are killed and start again. Clients
+    retransmit 0.2, 0.6, 1.4 and 3.0 s after a request, and give up before the
+    last of these. If the target has died too, they are told at once.
+    """
+    cluster = FlowCluster(balancers=2, agents=3)
+    cluster.advance(8000)
+    _open_flows(cluster, 12)
+    node = cluster.agents[0]
+    assert node.target is not None
+    held = [flow_key(flow) for flow in range(12)]
+    held = [key for key in held if key in node.target.flows]
+    assert held
+    node.is_up = False
+    sent_ms = (0, 200, 600, 1400)
+    for elapsed_ms in range(0, down_ms, 50):
+        if elapsed_ms in sent_ms:
+            for key in held:
+                cluster.request(key, b'next', is_copy=elapsed_ms > 0)
+        cluster.advance(50)
+    if not target_lives:
+        cluster.nodes.pop(node.record.host)
+    cluster.add_agent(0)
+    # The hello of an agent, and a round trip for each step of a search.
+    cluster.advance(250)
+    for key in held:
+        assert cluster.is_reset(key) != target_lives
+        assert len(cluster.bodies(key)) == 1 + target_lives
