Deliver the last answers of a target that stops, and skip absent targets

Looked for: requests cut off during a planned stop. The notice comes by HTTP and was read first; the agent reset the flow, and the client lost a booked amendment's answer. Change: on a notice, flows without a request are reset at once, the others 100 ms later, after the last packets of the target.

Returned packets no longer end the absence, and an absent target's agent refuses with no_target and reports that it does not accept. Result: test_stop_notice_overtakes_the_last_answer and test_agent_whose_vm_returns_packets_without_a_target fail before.

--- a/anvilthread/flows/agent_condition.py
+++ b/anvilthread/flows/agent_condition.py
@@ -95,6 +95,8 @@
         """Why every new flow is refused; empty if new flows are accepted."""
         if self._is_stopping:
             return 'stopping'
+        if self._target.is_absent:
+            return 'no_target'
         return 'draining' if self._target.is_draining else ''
 
     def stop(self) -> None:
--- a/anvilthread/flows/flow_agent.py
+++ b/anvilthread/flows/flow_agent.py
@@ -1,6 +1,7 @@
 """The agent of flows that are identified by an address pair."""
 
 from collections.abc import Iterable
+from typing import Final
 
 from anvilthread.clock import Clock
 from anvilthread.flows.agent_condition import AgentCondition
@@ -27,6 +28,10 @@
 from anvilthread.flows.target_watch import Heartbeat, TargetWatch
 from anvilthread.telemetry.log import Log
 
+#: Time for the last packets of a target that has stopped to arrive. They are
+#: sent by a process on the same VM before its notice.
+_LAST_ANSWERS_MS: Final = 100
+
 
 class FlowAgent:
     """Delivers packets to the target, and tracks the flows that it holds.
@@ -57,6 +62,7 @@
         '_log',
         '_network',
         '_offers',
+        '_reset_due_ms',
         '_routes',
         '_service',
         '_started_ms',
@@ -104,6 +110,8 @@
         )
         self._latencies = LatencyBuckets()
         self._started_ms = clock.now_ms()
+        #: Time at which the flows of a target that has stopped are reset.
+        self._reset_due_ms: int | None = None
 
     @property
     def flows(self) -> AgentFlowTable:
@@ -141,6 +149,10 @@
     def tick(self) -> None:
         """Checks the timeouts of offers and opening packets."""
         self._offers.tick()
+        now_ms = self._clock.now_ms()
+        if self._reset_due_ms is not None and now_ms >= self._reset_due_ms:
+            self._reset_due_ms = None
+            self._reset_flows('target_stopped')
         if self._condition.tick():
             self._reset_flows('target_silent')
 
@@ -199,7 +211,7 @@
 
     def on_target_packet(self, packet: FlowPacket) -> None:
         """Handles a packet that the target has sent."""
-        self._target.on_packet()
+        self._target.on_packet(is_bounced=packet.is_bounced)
         if packet.is_bounced:
             self._on_bounced(packet)
             return
@@ -247,6 +259,9 @@
     def on_departure(self, target: str) -> bool:
         """Resets all flows if the stopped target is the local one.
 
+        The notice may overtake the last packets of the target, so flows whose
+        request it has not answered are reset a little later.
+
         Args:
             target: Identity of the target that has stopped.
 
@@ -255,7 +270,8 @@
         """
         has_stopped = self._target.on_departure(target)
         if has_stopped:
-            self._reset_flows('target_stopped')
+            self._reset_flows('target_stopped', spares_requests=True)
+            self._reset_due_ms = self._clock.now_ms() + _LAST_ANSWERS_MS
         return has_stopped
 
     def _refusal(self, packet: FlowPacket, message: Place) -> str:
@@ -351,9 +367,18 @@
     def _send_held(self, host: str, key: FlowKey) -> None:
         self._network.send_to_node(host, Held(key=key, service=self._service))
 
-    def _reset_flows(self, reason: str) -> None:
-        """Resets all flows after the target has lost them."""
+    def _reset_flows(
+        self, reason: str, *, spares_requests: bool = False
+    ) -> None:
+        """Resets flows after the target has lost them.
+
+        Args:
+            reason: Reason for the log.
+            spares_requests: Whether flows with a request in progress stay.
+        """
         for key, flow in self._flows.items():
+            if spares_requests and flow.requested_ms is not None:
+                continue
             self._flows.remove(key)
             if flow.is_open and not flow.is_closing:
                 content = self._codec.reset(key, flow.acknowledged)
--- a/anvilthread/flows/target_watch.py
+++ b/anvilthread/flows/target_watch.py
@@ -202,9 +202,15 @@
             self._is_absent = True
         self._log.event('target_probed', is_listening=is_listening)
 
-    def on_packet(self) -> None:
-        """Records that the target has sent or returned a packet."""
-        self._is_absent = False
+    def on_packet(self, *, is_bounced: bool = False) -> None:
+        """Records that the target has sent or returned a packet.
+
+        Args:
+            is_bounced: Whether the packet was returned. The VM of a target
+                that has stopped may still return packets.
+        """
+        if not is_bounced:
+            self._is_absent = False
         self._last_seen_ms = self._clock.now_ms()
 
     def on_departure(self, target: str) -> bool:
--- a/tests/flows/test_flows.py
+++ b/tests/flows/test_flows.py
@@ -1,7 +1,9 @@
 """Flows through failing balancers and agents, in virtual time."""
 
+import msgspec
 import pytest
 
+from anvilthread.flows.flow_packet import FlowPacket
 from anvilthread.flows.node_messages import Leaving
 from anvilthread.flows.search_messages import Held
 from standins.flow_cluster import (
@@ -13,7 +15,11 @@
     route_table,
 )
 from standins.flow_target import FlowTarget
-from standins.plain_packet_codec import PlainPacket
+from standins.plain_packet_codec import (
+    PlainPacket,
+    PlainPacketCodec,
+    encode_packet,
+)
 
 
 def _open_flows(cluster: FlowCluster, count: int) -> None:
@@ -24,6 +30,14 @@
         cluster.advance(5)
 
 
+def _bounced(packet: PlainPacket) -> FlowPacket:
+    """Returns a packet as a target returns it."""
+    content = encode_packet(msgspec.structs.replace(packet, is_bounced=True))
+    decoded = PlainPacketCodec().from_target(content)
+    assert decoded is not None
+    return decoded
+
+
 def _assert_kept(cluster: FlowCluster, count: int, *, answers: int) -> None:
     """Checks that no flow was reset and that every request was answered."""
     for number in range(count):
@@ -628,3 +642,51 @@
     for key in held:
         assert cluster.is_reset(key) != target_lives
         assert len(cluster.bodies(key)) == 1 + target_lives
+
+
+@pytest.mark.parametrize('is_answered', [True, False])
+def test_stop_notice_overtakes_the_last_answer(is_answered: bool) -> None:
+    """Guards against a request cut off in a planned stop although it ran.
+
+    Pattern: a release. A target answers its last request and stops; its notice
+    comes through another socket and is read before the answer.
+    """
+    cluster = FlowCluster(balancers=1, agents=1)
+    _open_flows(cluster, 3)
+    node = cluster.agents[0]
+    assert node.target is not None and node.agent is not None
+    node.target.answers = is_answered
+    cluster.request(flow_key(0), b'last')
+    # The request has arrived at the target; the answer is on its way.
+    cluster.advance(2)
+    assert node.target.served[-1] == b'last'
+    node.agent.on_departure(node.target.name)
+    assert cluster.is_reset(flow_key(1))
+    assert not cluster.is_reset(flow_key(0))
+    cluster.advance(30)
+    assert len(cluster.bodies(flow_key(0))) == 1 + is_answered
+    cluster.advance(120)
+    assert cluster.is_reset(flow_key(0))
+
+
+def test_agent_whose_vm_returns_packets_without_a_target() -> None:
+    """Guards against flows drawn by an agent that refuses all of them.
+
+    Pattern: a power loss after targets were drained. Their VMs return packets
+    although no target runs, and no heartbeat comes.
+    """
+    cluster = FlowCluster(balancers=1, agents=3)
+    node = cluster.add_agent(0, sends_heartbeat=False)
+    assert node.target is not None and node.agent is not None
+    node.target.max_flows = 0
+    node.watch.on_probe(is_listening=False)
+    cluster.advance(200)
+    for number in range(20):
+        cluster.open(flow_key(number))
+    cluster.advance(60)
+    assert not node.target.opened
+    node.agent.on_target_packet(
+        _bounced(PlainPacket(key=flow_key(1), flags='A', body=b'x'))
+    )
+    assert node.watch.is_absent
+    assert all(cluster.holder(flow_key(number)) for number in range(20))
