Forward the first packet of a search to an agent that had not known its flow

Cause, found by reading: a question that carries the packet counted as its delivery, also if the agent answered that it does not know the flow and had dropped the packet. If another balancer's offer made the flow known there afterwards, its client waited 200 ms for the retransmission. And the number of agents that may offer a packet doubled in rounds in which none was asked. Change: an unknown answer takes the delivery back; the number grows only with offers.

--- a/anvilthread/flows/flow_search.py
+++ b/anvilthread/flows/flow_search.py
@@ -166,8 +166,12 @@
         self._ask_again_ms.pop(host, None)
 
     def record_unknown(self, host: str) -> None:
-        """Records the answer of an agent that does not know."""
+        """Records the answer of an agent that does not know.
+
+        It has not delivered the packet that was sent with the question.
+        """
         self._unknown.add(host)
+        self._received_packet.discard(host)
         self._ask_again_ms.pop(host, None)
         self._pauses_ms[host] = _FIRST_PAUSE_MS
 
--- a/anvilthread/flows/holder_search.py
+++ b/anvilthread/flows/holder_search.py
@@ -133,11 +133,7 @@
         if len(self._searches) >= _MAX_SEARCHES:
             self._counters.add('searches_rejected')
             return
-        search = FlowSearch(
-            packet=packet,
-            service=service,
-            now_ms=now_ms,
-        )
+        search = FlowSearch(packet=packet, service=service, now_ms=now_ms)
         if denied_by:
             search.record_denial(denied_by)
         self._searches[packet.key] = search
@@ -343,10 +339,12 @@
         count = min(
             search.offer_limit, self._offers_left, self._offers_allowed(search)
         )
-        self._offers_left -= min(count, len(ordered))
-        search.offer_limit *= 2
-        for host in ordered[:count]:
+        asked = ordered[:count]
+        for host in asked:
             self._ask(search, host, may_offer=True)
+        if asked:
+            self._offers_left -= len(asked)
+            search.offer_limit *= 2
 
     def _report_absence(self, search: FlowSearch) -> None:
         self._on_absence(search.key, search.acknowledged, self._outcome(search))
