--- a/tests/flows/test_holder_search.py
+++ b/tests/flows/test_holder_search.py
@@ -80,6 +80,17 @@
         cluster.request(key, b'next', balancer)
 
 
+def _assert_found_by_a_new_balancer(
+    cluster: FlowCluster, keys: list[FlowKey]
+) -> None:
+    """Checks that the second request of each flow is answered."""
+    _request(cluster, keys, _new_balancer(cluster))
+    cluster.advance(400)
+    for key in keys:
+        assert not cluster.is_reset(key)
+        assert len(cluster.bodies(key)) == 2
+
+
 def _questions(cluster: FlowCluster) -> int:
     """Returns the number of messages that searches have sent."""
     return sum(
@@ -112,12 +123,7 @@
     cluster.configure(before)
     keys = _open(cluster, 40)
     cluster.configure(after)
-    balancer = _new_balancer(cluster)
-    _request(cluster, keys, balancer)
-    cluster.advance(400)
-    for key in keys:
-        assert not cluster.is_reset(key)
-        assert len(cluster.bodies(key)) == 2
+    _assert_found_by_a_new_balancer(cluster, keys)
 
 
 @pytest.mark.parametrize('agents', [16, 80, 200])
@@ -154,12 +160,7 @@
         cluster.add_agent(50 + number)
         cluster.add_agent(number)
     cluster.advance(500)
-    balancer = _new_balancer(cluster)
-    _request(cluster, keys, balancer)
-    cluster.advance(400)
-    for key in keys:
-        assert not cluster.is_reset(key)
-        assert len(cluster.bodies(key)) == 2
+    _assert_found_by_a_new_balancer(cluster, keys)
 
 
 @pytest.mark.parametrize('is_slow', [True, False])
