Keep the flows of a target that starts right after another has stopped

Cause, found by reading the change: the resets that wait 100 ms for the last answers of a stopped target would have hit flows that its successor on the same VM had accepted by then. Change: a new incarnation ends the wait. Result: test_target_that_starts_right_after_a_stop_keeps_its_flows fails before.

--- a/anvilthread/flows/flow_agent.py
+++ b/anvilthread/flows/flow_agent.py
@@ -255,6 +255,8 @@
             else:
                 self._condition.health.record_crash()
             self._reset_flows('target_restarted')
+            # Flows that are opened from now on belong to the new target.
+            self._reset_due_ms = None
 
     def on_departure(self, target: str) -> bool:
         """Resets all flows if the stopped target is the local one.
--- a/tests/flows/test_flows.py
+++ b/tests/flows/test_flows.py
@@ -669,6 +669,27 @@
     assert cluster.is_reset(flow_key(0))
 
 
+def test_target_that_starts_right_after_a_stop_keeps_its_flows() -> None:
+    """Guards against the delayed resets of a stop that hit the next target."""
+    cluster = FlowCluster(balancers=1, agents=1)
+    _open_flows(cluster, 1)
+    node = cluster.agents[0]
+    assert node.target is not None and node.agent is not None
+    node.agent.on_departure(node.target.name)
+    node.target.crash()
+    node.target.is_up = True
+    node.target.name = 'next'
+    node.target.born_ms += 5000
+    node.target.sequence = 0
+    node.heartbeat()
+    cluster.advance(20)
+    cluster.open(flow_key(5))
+    cluster.advance(10)
+    assert flow_key(5) in node.target.flows
+    cluster.advance(150)
+    assert not cluster.is_reset(flow_key(5))
+
+
 def test_agent_whose_vm_returns_packets_without_a_target() -> None:
     """Guards against flows drawn by an agent that refuses all of them.
 
