--- a/tests/flows/test_holder_search.py
+++ b/tests/flows/test_holder_search.py
@@ -300,6 +300,30 @@
         assert len(cluster.bodies(key)) == 2
 
 
+def test_late_balancer_resets_flows_lost_with_the_power() -> None:
+    """Guards against clients that wait for a balancer that starts slowly.
+
+    Pattern: a power loss; the smallest balancers start 2 to 3 s after the
+    agents, whose targets have lost all flows.
+    """
+    cluster = _cluster(agents=12)
+    keys = _open(cluster, 40)
+    for node in cluster.balancers:
+        node.is_up = False
+    for number in range(12):
+        cluster.nodes.pop(f'10.0.1.{number + 1}')
+        cluster.add_agent(number)
+    cluster.advance(2500)
+    started_ms = cluster.clock.now_ms()
+    balancer = cluster.add_balancer(0)
+    for _ in range(20):
+        waiting = [key for key in keys if not cluster.is_reset(key)]
+        _request(cluster, waiting, balancer)
+        cluster.advance(200)
+    resets_ms = [at_ms for at_ms, it in cluster.received if it.flags == 'R']
+    assert median(resets_ms) <= started_ms + 500
+
+
 @pytest.mark.parametrize('vanishes', [True, False])
 def test_agents_without_targets_hide_no_loss(vanishes: bool) -> None:
     """Guards against clients that wait for agents beside no target.
