--- a/anvilthread/flows/target_offers.py
+++ b/anvilthread/flows/target_offers.py
@@ -134,17 +134,13 @@
 
     def on_reset(self, key: FlowKey) -> None:
         """Handles a reset by the target for a flow that it does not hold."""
-        for mark, offer in list(self._offers.items()):
-            if offer.packet.key == key:
-                self._offers.pop(mark)
-                self._deny(offer)
+        for offer in self._take_offers(key):
+            self._deny(offer)
 
     def on_answer(self, key: FlowKey) -> None:
         """Handles a packet by which the target shows that it holds a flow."""
-        for mark, offer in list(self._offers.items()):
-            if offer.packet.key == key:
-                self._offers.pop(mark)
-                self._confirm_held(offer)
+        for offer in self._take_offers(key):
+            self._confirm_held(offer)
 
     def tick(self) -> None:
         """Ends offers that have timed out, and repeats undecided ones."""
@@ -162,6 +158,15 @@
                 # returned are read between this tick and the next one.
                 self._offers[mark] = msgspec.structs.replace(offer, is_due=True)
 
+    def _take_offers(self, key: FlowKey) -> list[Offer]:
+        """Removes and returns the open offers of a flow."""
+        marks = [
+            mark
+            for mark, offer in self._offers.items()
+            if offer.packet.key == key
+        ]
+        return [self._offers.pop(mark) for mark in marks]
+
     def _deny(self, offer: Offer) -> None:
         self._network.send_to_node(
             offer.balancer, NotHeld(key=offer.packet.key)
