Tell a restore of the store from an old answer in logs and metrics

The platform's store counts its restores in the header Store-Era of every answer; no line and no metric held it, so the hypotheses of docs/incidents/restored-store.md could not be told apart: an older answer, a restore, and a node whose entry was gone looked the same, or like nothing.

New lines: store_restored (once a node and restore, by its own call or by a peer's hello, which now carries the era), store_era_known, node_registered, configuration_differs (another document under the version in force); store_returned_older_version names the era, store_index_decreased shows the same on the QUIC path. New gauge: anvilthread_store_era.

The stand-ins of both stores can be restored from a copy: keys, leases and revisions go back, and are given out again; the platform's one raises its era, answers a watch from a later revision with 410 and ends the keys of a lease with it. test_lease held that a lease cannot be acquired again after its release, which was true only of a stand-in that kept the key; it now asks for a conflict while the lease is held, a refused renewal after its release, and a new holder then.

--- a/anvilthread/configuration/store_watcher.py
+++ b/anvilthread/configuration/store_watcher.py
@@ -117,6 +117,13 @@
             )
             return
         snapshot = answer.ok_value
+        if snapshot.index < self._index:
+            logging.warning(
+                'event=store_index_decreased previous=%d index=%d '
+                'remedy="none needed if the store was restored from a copy"',
+                self._index,
+                snapshot.index,
+            )
         self._index = snapshot.index
         if snapshot.value is not None:
             self._decode(snapshot.value)
--- a/anvilthread/flow_node/flow_process.py
+++ b/anvilthread/flow_node/flow_process.py
@@ -33,6 +33,7 @@
 from anvilthread.flows.peer_messages import PeerMessages
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
+from anvilthread.flows.store_era import StoreEra
 
 #: Interval of the task that sends hello messages. Short, since a starting
 #: node serves no flow until it has reached another node.
@@ -80,6 +81,7 @@
         '_node_socket',
         '_peer_messages',
         '_reload_requested',
+        '_store_era',
     )
 
     def __init__(
@@ -115,12 +117,14 @@
             clock=self.clock, local_node=self._build_node_record(), log=self.log
         )
         self.routes = RouteHolder(clock=self.clock, log=self.log)
+        self._store_era = StoreEra(log=self.log)
         self.introducer = Introducer(
             clock=self.clock,
             random=self.random,
             network=self.network,
             roster=self.roster,
             routes=self.routes,
+            store_era=self._store_era,
         )
         self.introducer.add_contacts(settings.contacts)
         self._peer_messages = PeerMessages(
@@ -162,6 +166,7 @@
             routes=self.routes,
             roster=self.roster,
             introducer=self.introducer,
+            store_era=self._store_era,
             log=self.log,
         )
         directory_client = DirectoryClient(
@@ -195,6 +200,10 @@
             incarnation=self.roster.local_node.incarnation,
         )
 
+    def observe_store_era(self, era: int) -> None:
+        """Records the era that an answer of the store has named."""
+        self._store_era.observe(era, 'store')
+
     def serve_packets(
         self, decode: PacketDecoder, handle: Callable[[FlowPacket], None]
     ) -> None:
@@ -238,6 +247,7 @@
             'anvilthread_configuration_check_age_seconds': lambda: (
                 self.routes.check_age_ms / _MS_PER_SECOND
             ),
+            'anvilthread_store_era': lambda: self._store_era.number,
             'anvilthread_nodes_known': lambda: len(self.roster.nodes),
         }
 
--- a/anvilthread/flows/configuration_follower.py
+++ b/anvilthread/flows/configuration_follower.py
@@ -12,6 +12,7 @@
 from anvilthread.flows.node_record import NodeRole
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
+from anvilthread.flows.store_era import StoreEra
 from anvilthread.telemetry.log import Log
 
 #: Age of the last check from which an agent reads the store again. A change
@@ -53,6 +54,7 @@
         routes: Holder of the version in force.
         roster: This node and its peers.
         introducer: Announces the version and the age of its check to peers.
+        store_era: Era of the store, for the log.
         log: Receives the loss and return of the store.
     """
 
@@ -69,6 +71,7 @@
         '_roster',
         '_routes',
         '_source',
+        '_store_era',
     )
 
     def __init__(
@@ -80,6 +83,7 @@
         routes: RouteHolder,
         roster: Roster,
         introducer: Introducer,
+        store_era: StoreEra,
         log: Log,
     ) -> None:
         self._clock = clock
@@ -88,6 +92,7 @@
         self._routes = routes
         self._roster = roster
         self._introducer = introducer
+        self._store_era = store_era
         self._log = log
         self._newer_available = Event()
         self._newer_host = ''
@@ -167,6 +172,7 @@
                 'store_returned_older_version',
                 version=table.version,
                 in_force=self._routes.table.version,
+                era=self._store_era.number,
                 remedy='none needed; the newer version stays in force',
             )
         self._routes.update(table, 'store')
--- a/anvilthread/flows/directory_client.py
+++ b/anvilthread/flows/directory_client.py
@@ -88,8 +88,10 @@
         jitter_ms = self._random.randint(0, _REGISTRATION_JITTER_MS)
         self._clock.sleep_ms(_REGISTRATION_DELAY_MS + jitter_ms)
         while True:
-            answer = self._directory.register(self._roster.local_node.host)
+            host = self._roster.local_node.host
+            answer = self._directory.register(host)
             if not isinstance(answer, Err):
+                self._log.event('node_registered', host=host)
                 return
             self._warn('registration_failed', answer.err_value)
             share = self._random.uniform(0.5, 1.5)
--- a/anvilthread/flows/introducer.py
+++ b/anvilthread/flows/introducer.py
@@ -11,6 +11,7 @@
 from anvilthread.flows.node_record import NodeRecord, NodeRole
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
+from anvilthread.flows.store_era import StoreEra
 
 #: Records take up to 65 bytes each, and a message at most 1,200 bytes.
 _MAX_RECORDS_PER_MESSAGE: Final = 16
@@ -28,6 +29,7 @@
         network: Sends the messages.
         roster: This node and its peers.
         routes: Its version is part of every hello.
+        store_era: Part of every hello, and learned from those of peers.
     """
 
     __slots__ = (
@@ -40,6 +42,7 @@
         '_random',
         '_roster',
         '_routes',
+        '_store_era',
     )
 
     def __init__(
@@ -50,12 +53,14 @@
         network: FlowNetwork,
         roster: Roster,
         routes: RouteHolder,
+        store_era: StoreEra,
     ) -> None:
         self._clock = clock
         self._random = random
         self._network = network
         self._roster = roster
         self._routes = routes
+        self._store_era = store_era
         self._contacts: set[str] = set()
         #: Whether the list of a peer has arrived.
         self._has_list = False
@@ -83,6 +88,7 @@
 
     def on_hello(self, host: str, message: Hello) -> None:
         """Records the sender, and sends it the list of peers if it asks."""
+        self._store_era.observe(message.store_era, host)
         before = self._roster.get(host)
         self._roster.record_sender(message.node)
         is_new = before is None or before.record != message.node
@@ -176,4 +182,5 @@
             version=self._routes.table.version,
             check_age_ms=self._routes.check_age_ms,
             wants_peers=wants_peers,
+            store_era=self._store_era.number,
         )
--- a/anvilthread/flows/node_messages.py
+++ b/anvilthread/flows/node_messages.py
@@ -50,12 +50,14 @@
         version: Version of its configuration.
         check_age_ms: As in :class:`LoadReport`.
         wants_peers: Whether the receiver should answer with :class:`Peers`.
+        store_era: Highest era of the store that the sender knows.
     """
 
     node: NodeRecord
     version: int
     check_age_ms: int
     wants_peers: bool
+    store_era: int = 0
 
 
 class Peers(Message, frozen=True, tag=11):
--- a/anvilthread/flows/route_holder.py
+++ b/anvilthread/flows/route_holder.py
@@ -20,7 +20,13 @@
         log: Receives each change of the version.
     """
 
-    __slots__ = ('_checked_at_ms', '_clock', '_log', '_table')
+    __slots__ = (
+        '_checked_at_ms',
+        '_clock',
+        '_differing_document',
+        '_log',
+        '_table',
+    )
 
     def __init__(self, *, clock: Clock, log: Log) -> None:
         self._clock = clock
@@ -29,6 +35,7 @@
             version=0, routes={}, idle_ms=_DEFAULT_IDLE_MS, document=b''
         )
         self._checked_at_ms: int | None = None
+        self._differing_document = b''
 
     @property
     def table(self) -> RouteTable:
@@ -61,6 +68,8 @@
         """
         before = self._table.version
         if table.version <= before:
+            if table.version == before:
+                self._compare_documents(table, source)
             return False
         self._table = table
         self._log.event(
@@ -84,3 +93,18 @@
         checked_at_ms = self._clock.now_ms() - check_age_ms
         if self._checked_at_ms is None or checked_at_ms > self._checked_at_ms:
             self._checked_at_ms = checked_at_ms
+
+    def _compare_documents(self, table: RouteTable, source: str) -> None:
+        """Logs another document under the number of the version in force."""
+        document = table.document
+        if document == self._table.document:
+            return
+        if document == self._differing_document:
+            return
+        self._differing_document = document
+        self._log.warning(
+            'configuration_differs',
+            version=table.version,
+            source=source,
+            remedy='write the intended configuration under a higher version',
+        )
--- a/standins/flow_cluster.py
+++ b/standins/flow_cluster.py
@@ -23,6 +23,7 @@
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
 from anvilthread.flows.route_table import Route, RouteTable, ServiceShare
+from anvilthread.flows.store_era import StoreEra
 from anvilthread.flows.target_watch import Heartbeat, TargetWatch
 from anvilthread.telemetry.memory_log import MemoryLog
 from standins.flow_target import FlowTarget
@@ -95,12 +96,14 @@
         )
         self.roster.subscribe(self._send_report)
         self.routes = RouteHolder(clock=cluster.clock, log=self.log)
+        self.store_era = StoreEra(log=self.log)
         self.introducer = Introducer(
             clock=cluster.clock,
             random=cluster.random,
             network=self,
             roster=self.roster,
             routes=self.routes,
+            store_era=self.store_era,
         )
         self.introducer.add_contacts(contacts)
         self._peers = PeerMessages(
--- a/standins/metadata_server.py
+++ b/standins/metadata_server.py
@@ -13,11 +13,39 @@
 #: Delay of a lost answer, longer than any time-out of a caller.
 _LOST_ANSWER_DELAY_S: Final = 20.0
 
+_TTL_MS: Final = 3000
+
 _StartResponse = Callable[[str, list[tuple[str, str]]], object]
+_Answer = tuple[str, dict[str, object]]
+
+_OK: Final = '200 OK'
+_NOT_FOUND: Final = '404 Not Found'
+
+
+class StoredItem(msgspec.Struct, frozen=True, kw_only=True):
+    """One key.
+
+    Attributes:
+        value: Its bytes.
+        revision: Revision of its last change.
+        lease_id: Lease that it ends with; 0 if there is none.
+    """
+
+    value: bytes
+    revision: int
+    lease_id: int = 0
+
+
+class MetadataCopy(msgspec.Struct, frozen=True, kw_only=True):
+    """Contents of the store at one time, to restore them later."""
+
+    revision: int
+    items: dict[str, StoredItem]
+    leases: frozenset[int]
 
 
 class MetadataServer:
-    """Stores keys with revisions; leases are granted and never expire.
+    """Stores keys with revisions; leases never expire by themselves.
 
     Args:
         endpoint: Host and port to listen on.
@@ -27,10 +55,13 @@
     def __init__(self, *, endpoint: tuple[str, int], seed: int = 1) -> None:
         self._random = Random(seed)
         self._revision = 1
-        self._items: dict[str, tuple[bytes, int]] = {}
+        self._items: dict[str, StoredItem] = {}
+        self._leases: set[int] = set()
         self._server = WSGIServer(
             endpoint, self._serve, log=None, error_log=None
         )
+        #: Rises by one with each restore.
+        self.era = 1
         #: ``up``, ``silent``, ``busy``, ``lost`` (half of the answers) or
         #: ``slow``.
         self.mode = 'up'
@@ -53,30 +84,54 @@
     def write(self, key: str, value: bytes) -> int:
         """Writes a key as the operator does; returns its revision."""
         self._revision += 1
-        self._items[key] = (value, self._revision)
+        self._items[key] = StoredItem(value=value, revision=self._revision)
         return self._revision
 
+    def keys(self, prefix: str) -> list[str]:
+        """Lists the keys with a prefix."""
+        return sorted(key for key in self._items if key.startswith(prefix))
+
+    def save_copy(self) -> MetadataCopy:
+        """Returns a copy of keys, leases and revision."""
+        return MetadataCopy(
+            revision=self._revision,
+            items=dict(self._items),
+            leases=frozenset(self._leases),
+        )
+
+    def restore_copy(self, copy: MetadataCopy) -> None:
+        """Replaces all contents by a copy, and starts the next era.
+
+        What was written since is gone, and its revisions and lease IDs are
+        given out again.
+        """
+        self._revision = copy.revision
+        self._items = dict(copy.items)
+        self._leases = set(copy.leases)
+        self.era += 1
+
     def _serve(
         self, environment: dict[str, Any], start_response: _StartResponse
     ) -> Iterable[bytes]:
         host = environment['REMOTE_ADDR']
+        headers = [('Content-Type', 'application/json')]
         if self.mode == 'silent':
             gevent.sleep(_LOST_ANSWER_DELAY_S)
         if self.mode == 'slow':
             gevent.sleep(self._random.uniform(0.05, 0.4))
         if self.mode == 'busy' or host in self.refused:
-            start_response('503 Service Unavailable', [])
+            headers.append(('Store-Era', str(self.era)))
+            start_response('503 Service Unavailable', headers)
             return [b'{}']
         body = environment['wsgi.input'].read()
         status, answer = self._answer(environment, body)
+        headers.append(('Store-Era', str(self.era)))
         if self.mode == 'lost' and self._random.random() < 0.5:
             gevent.sleep(_LOST_ANSWER_DELAY_S)
-        start_response(status, [('Content-Type', 'application/json')])
+        start_response(status, headers)
         return [msgspec.json.encode(answer)]
 
-    def _answer(
-        self, environment: dict[str, Any], body: bytes
-    ) -> tuple[str, dict[str, object]]:
+    def _answer(self, environment: dict[str, Any], body: bytes) -> _Answer:
         query = parse_qs(environment['QUERY_STRING'])
         path = environment['PATH_INFO']
         if path == '/kv-key':
@@ -86,47 +141,75 @@
         if path == '/kv-txn':
             return self._commit(msgspec.json.decode(body))
         if path == '/kv-watch':
-            return '200 OK', {'events': [], 'at': self._revision}
-        if path == '/kv-lease':
-            return '200 OK', {'lease_id': 7, 'ttl_ms': 3000}
-        if path.startswith(('/kv-keep/', '/kv-lease-end/')):
-            return '200 OK', {'ttl_ms': 3000}
-        return '404 Not Found', {'error': 'no such call'}
-
-    def _get(self, key: str) -> tuple[str, dict[str, object]]:
+            return self._watch(int(query['after'][0]))
+        return self._answer_lease(path)
+
+    def _get(self, key: str) -> _Answer:
         if key not in self._items:
-            return '404 Not Found', {'at': self._revision}
-        return '200 OK', {**self._item(key), 'at': self._revision}
+            return _NOT_FOUND, {'at': self._revision}
+        return _OK, {**self._item(key), 'at': self._revision}
 
-    def _range(self, prefix: str) -> tuple[str, dict[str, object]]:
-        keys = sorted(key for key in self._items if key.startswith(prefix))
-        return '200 OK', {
-            'items': [self._item(key) for key in keys],
+    def _range(self, prefix: str) -> _Answer:
+        return _OK, {
+            'items': [self._item(key) for key in self.keys(prefix)],
             'has_more': False,
             'at': self._revision,
         }
 
-    def _commit(self, txn: dict[str, Any]) -> tuple[str, dict[str, object]]:
+    def _watch(self, after: int) -> _Answer:
+        if after > self._revision:
+            return '410 Gone', {'at': self._revision}
+        return _OK, {'events': [], 'at': self._revision}
+
+    def _commit(self, txn: dict[str, Any]) -> _Answer:
         for row in txn['expect']:
-            current = self._items.get(row['key'], (b'', 0))
-            if current[1] != row['revision']:
+            current = self._items.get(row['key'])
+            if (current.revision if current else 0) != row['revision']:
                 return '412 Precondition Failed', {'items': []}
         if any(row['key'].startswith('op/') for row in txn['set_keys']):
             return '403 Forbidden', {'error': 'written by the operator only'}
+        leases = {row['lease_id'] for row in txn['set_keys']}
+        if leases - self._leases - {0}:
+            return _NOT_FOUND, {'error': 'no such lease'}
         self._revision += 1
         for row in txn['set_keys']:
-            content = base64.b64decode(row['value'])
-            self._items[row['key']] = (content, self._revision)
+            self._items[row['key']] = StoredItem(
+                value=base64.b64decode(row['value']),
+                revision=self._revision,
+                lease_id=row['lease_id'],
+            )
         for key in txn['remove']:
             self._items.pop(key, None)
-        return '200 OK', {'revision': self._revision}
+        return _OK, {'revision': self._revision}
+
+    def _answer_lease(self, path: str) -> _Answer:
+        action, _, lease_text = path.removeprefix('/').partition('/')
+        if action == 'kv-lease':
+            lease_id = max(self._leases, default=0) + 1
+            self._leases.add(lease_id)
+            return _OK, {'lease_id': lease_id, 'ttl_ms': _TTL_MS}
+        lease_id = int(lease_text or 0)
+        if lease_id not in self._leases:
+            return _NOT_FOUND, {'error': 'no such lease'}
+        if action == 'kv-lease-end':
+            self._end_lease(lease_id)
+        return _OK, {'ttl_ms': _TTL_MS}
+
+    def _end_lease(self, lease_id: int) -> None:
+        self._leases.discard(lease_id)
+        self._revision += 1
+        self._items = {
+            key: item
+            for key, item in self._items.items()
+            if item.lease_id != lease_id
+        }
 
     def _item(self, key: str) -> dict[str, object]:
-        value, revision = self._items[key]
+        item = self._items[key]
         return {
             'key': key,
-            'value': base64.b64encode(value).decode(),
-            'revision': revision,
-            'created_at': revision,
-            'lease_id': 0,
+            'value': base64.b64encode(item.value).decode(),
+            'revision': item.revision,
+            'created_at': item.revision,
+            'lease_id': item.lease_id,
         }
--- a/standins/store_state.py
+++ b/standins/store_state.py
@@ -60,6 +60,20 @@
         return self.index > 0
 
 
+class StoreCopy(Struct, frozen=True, kw_only=True):
+    """Contents of the store at one time, to restore them later.
+
+    Attributes:
+        index: Index of the latest write.
+        versions: Versions of each key.
+        sessions: Time to live and time of expiry of each session.
+    """
+
+    index: int
+    versions: dict[str, list[StoredValue]]
+    sessions: dict[str, tuple[int, int]]
+
+
 class StoreState:
     """Keys and sessions, with rate limits and faults.
 
@@ -141,6 +155,28 @@
         """Overwrites a key, as restoring a backup does."""
         self._write(key, value, 0, None)
 
+    def save_copy(self) -> StoreCopy:
+        """Returns a copy of the whole state."""
+        versions = {key: list(kept) for key, kept in self._versions.items()}
+        return StoreCopy(
+            index=self._index,
+            versions=versions,
+            sessions=dict(self._sessions),
+        )
+
+    def restore_copy(self, copy: StoreCopy) -> None:
+        """Replaces the whole state by a copy.
+
+        What was written since is gone, and its indexes are given out again.
+        """
+        self._index = copy.index
+        self._versions = {
+            key: list(kept) for key, kept in copy.versions.items()
+        }
+        self._sessions = dict(copy.sessions)
+        self._changed.set()
+        self._changed = Event()
+
     def create_session(self, ttl_ms: int) -> str:
         """Opens a session and returns its ID."""
         session = f'{self._random.getrandbits(64):016x}'
--- a/tests/flows/test_configuration_follower.py
+++ b/tests/flows/test_configuration_follower.py
@@ -15,6 +15,7 @@
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
 from anvilthread.flows.route_table import RouteTable
+from anvilthread.flows.store_era import StoreEra
 from anvilthread.store import StoreError, StoreUnavailable
 from anvilthread.telemetry.memory_log import MemoryLog
 from standins.flow_cluster import SERVICE, route_table
@@ -63,7 +64,9 @@
         roster = Roster(clock=self.clock, local_node=local_node, log=self.log)
         roster.record_sender(_PEER)
         self.routes = RouteHolder(clock=self.clock, log=self.log)
+        self.store_era = StoreEra(log=self.log)
         common = {'clock': self.clock, 'random': Random(1), 'roster': roster}
+        common['store_era'] = self.store_era
         introducer = Introducer(
             network=self.network,  # type: ignore[arg-type]
             routes=self.routes,
--- a/tests/flows/test_discovery.py
+++ b/tests/flows/test_discovery.py
@@ -15,6 +15,7 @@
 from anvilthread.flows.node_record import NodeRecord, NodeRole
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
+from anvilthread.flows.store_era import StoreEra
 from anvilthread.store import StoreUnavailable
 from anvilthread.telemetry.memory_log import MemoryLog
 from standins.flow_cluster import SERVICE, FlowCluster, flow_key
@@ -140,6 +141,7 @@
         network=network,  # type: ignore[arg-type]
         roster=roster,
         routes=RouteHolder(clock=clock, log=log),
+        store_era=StoreEra(log=log),
     )
     client = DirectoryClient(
         clock=clock,
--- a/tests/flows/test_route_holder.py
+++ b/tests/flows/test_route_holder.py
@@ -4,6 +4,7 @@
 
 from anvilthread.clock import ManualClock
 from anvilthread.flows.route_holder import RouteHolder
+from anvilthread.flows.route_table import RouteTable
 from anvilthread.telemetry.memory_log import MemoryLog
 from standins.flow_cluster import SERVICE, route_table
 
@@ -33,3 +34,16 @@
     holder.update(route_table(2, {80: SERVICE}), 'test')
     holder.confirm(version, age_ms)
     assert holder.check_age_ms == check_age_ms
+
+
+def test_other_document_of_the_same_version_is_logged_once() -> None:
+    """Guards against two documents of one version that nobody notices."""
+    log = MemoryLog()
+    holder = RouteHolder(clock=ManualClock(), log=log)
+    holder.update(route_table(2, {80: SERVICE}), 'store')
+    other = RouteTable(version=2, routes={}, idle_ms=1, document=b'other')
+    for _ in range(3):
+        holder.update(other, 'store')
+        holder.update(route_table(2, {80: SERVICE}), 'store')
+    assert len(holder.table) == 1
+    assert len(log.named('configuration_differs')) == 1
--- a/tests/platform/test_metadata_store.py
+++ b/tests/platform/test_metadata_store.py
@@ -107,10 +107,14 @@
     """Guards against a lease that cannot be renewed or released."""
     lease = store.acquire('leader', 3000).unwrap()
     assert isinstance(store.renew(lease), Ok)
+    second = store.acquire('leader', 3000)
+    assert isinstance(second, Err)
+    assert isinstance(second.err_value, StoreConflict)
     assert isinstance(store.release(lease), Ok)
-    again = store.acquire('leader', 3000)
-    assert isinstance(again, Err)
-    assert isinstance(again.err_value, StoreConflict)
+    renewed = store.renew(lease)
+    assert isinstance(renewed, Err)
+    assert isinstance(renewed.err_value, StoreConflict)
+    assert isinstance(store.acquire('leader', 3000), Ok)
 
 
 @pytest.mark.parametrize('document', [None, b'{', b'{"version": 1}'])
@@ -129,3 +133,31 @@
     written = store.put('op/config', b'1', 0)
     assert isinstance(written, Err)
     assert isinstance(written.err_value, StoreRefused)
+
+
+def test_era_is_reported_with_every_answer(server: MetadataServer) -> None:
+    """Guards against a restore that goes unnoticed, even while calls fail."""
+    eras: list[int] = []
+    store = MetadataStore(
+        address=Address(host='127.0.0.1', port=server.port),
+        clock=SystemClock(),
+        timeout_ms=_TIMEOUT_MS,
+        on_era=eras.append,
+    )
+    store.get('a')
+    server.restore_copy(server.save_copy())
+    store.create('b')
+    server.restore_copy(server.save_copy())
+    server.mode = 'busy'
+    store.keys('')
+    assert eras == [1, 2, 3]
+
+
+@pytest.mark.parametrize('text', ['', '-1', '1.5', 'x', '9' * 5000])
+def test_malformed_era_is_ignored(
+    server: MetadataServer, store: MetadataStore, text: str
+) -> None:
+    """Guards against a crash on a header that is not a number."""
+    server.era = text  # type: ignore[assignment]
+    assert isinstance(store.put('a', b'1', 0), Ok)
+    assert store.get('a').unwrap().value == b'1'
