Write a configuration that the store has lost back from the nodes

What callers saw: after the store had come back from an older copy, it kept that copy's revision. Applies were refused (ApplyStoreBehind) until somebody called Applier.restore, for which there is no command; an apply that was not told of any node made a revision that no node puts in force; and once all processes had been restarted, confirmed changes were gone.

Cause: nodes read the store and never compared it with what they hold, taking a confirmed record as lasting.

Change: a node that reads a predecessor of its record writes the record back by compare-and-swap. A stale answer has an old index, so the write fails (test_stale_answers_are_not_taken_for_a_restore); a record that is not in the history of the one in force was applied after the restore, and is left alone and logged (test_change_made_after_the_restore_is_not_overwritten).

--- a/anvilthread/configuration/configuration_node.py
+++ b/anvilthread/configuration/configuration_node.py
@@ -6,7 +6,9 @@
 
 from anvilthread.address import Address
 from anvilthread.clock import Clock
+from anvilthread.configuration.applier import STORE_KEY
 from anvilthread.configuration.holder import ConfigurationHolder, Listener
+from anvilthread.configuration.lost_record_writer import LostRecordWriter
 from anvilthread.configuration.peers import ConfigurationPeers
 from anvilthread.configuration.record import ConfigurationRecord
 from anvilthread.configuration.replicator import Replicator
@@ -54,6 +56,13 @@
             clock=clock,
             random=random,
             on_record=self._replicator.receive_record,
+            lost_record_writer=LostRecordWriter(
+                key=STORE_KEY,
+                store=store,
+                holder=self._holder,
+                clock=clock,
+                random=random,
+            ),
         )
         self._tasks: list[gevent.Greenlet] = []
 
--- a/anvilthread/configuration/store_watcher.py
+++ b/anvilthread/configuration/store_watcher.py
@@ -11,6 +11,7 @@
 from anvilthread.clock import Clock
 from anvilthread.configuration.applier import STORE_KEY
 from anvilthread.configuration.backoff import Backoff
+from anvilthread.configuration.lost_record_writer import LostRecordWriter
 from anvilthread.configuration.peers import ConfigurationPeers
 from anvilthread.configuration.record import ConfigurationRecord
 from anvilthread.configuration.record_codec import decode_record
@@ -46,6 +47,7 @@
         clock: Clock of the delays.
         random: Source of the jitter.
         on_record: Called with every record that the store returns.
+        lost_record_writer: Repairs a store that holds an older record.
     """
 
     __slots__ = (
@@ -53,6 +55,7 @@
         '_clock',
         '_index',
         '_local_address',
+        '_lost_record_writer',
         '_on_record',
         '_peers',
         '_random',
@@ -68,6 +71,7 @@
         clock: Clock,
         random: Random,
         on_record: RecordListener,
+        lost_record_writer: LostRecordWriter,
     ) -> None:
         self._store = store
         self._local_address = local_address
@@ -75,6 +79,7 @@
         self._clock = clock
         self._random = random
         self._on_record = on_record
+        self._lost_record_writer = lost_record_writer
         self._index = 0
         self._backoff = Backoff(
             random=random,
@@ -131,13 +136,13 @@
                 snapshot.index,
             )
         self._index = snapshot.index
-        if snapshot.value is not None:
-            self._decode(snapshot.value)
-
-    def _decode(self, value: bytes) -> None:
-        decoded = decode_record(value)
+        if snapshot.value is None:
+            self._lost_record_writer.compare(snapshot, None)
+            return
+        decoded = decode_record(snapshot.value)
         if isinstance(decoded, Ok):
             self._on_record(decoded.ok_value, 'store')
+            self._lost_record_writer.compare(snapshot, decoded.ok_value)
             return
         logging.error(
             'event=store_record_malformed reason="%s" remedy="%s"',
