Register a node again in each era of the store

What callers would see: a fleet that cannot find itself. A node that had registered after the copy was made lost its entry in the restore; once the contacts of the settings were gone too, nodes that started found nobody and refused every flow.

Cause: DirectoryClient.register wrote the entry once and returned. The class: something that the store has acknowledged is taken as lasting.

Evidence: test_entries_of_nodes_return_after_a_restore (real processes) fails before and passes now, as does test_entry_lost_in_a_restore_is_written_again.

Change: the answer to a registration tells the era in which the entry exists, and the node repeats it once a higher era is known, from its own calls or from a peer's hello. With more than 100 nodes the delay grows by 5 ms a node, so a restore costs 200 writes a second at most; without one, nothing is called more often (test_entry_is_written_once_an_era). test_registration_is_retried_after_an_outage asked for the task's end as a sign of success; the task now goes on, and the entry is asked for as before. tests/flows/test_discovery.py, tests/platform, tests/soak/ test_restored_store.py, lint and types pass.

--- a/anvilthread/flow_node/flow_process.py
+++ b/anvilthread/flow_node/flow_process.py
@@ -175,6 +175,7 @@
             directory=directory,
             roster=self.roster,
             introducer=self.introducer,
+            store_era=self._store_era,
             log=self.log,
         )
         document_server = DocumentServer(
--- a/anvilthread/flows/directory_client.py
+++ b/anvilthread/flows/directory_client.py
@@ -11,6 +11,7 @@
 from anvilthread.flows.node_directory import NodeDirectory
 from anvilthread.flows.node_record import NodeRole
 from anvilthread.flows.roster import Roster
+from anvilthread.flows.store_era import StoreEra
 from anvilthread.telemetry.log import Log
 
 #: Time after its start at which a node without peers reads the list.
@@ -30,16 +31,30 @@
 #: Mean delay after a failed registration.
 _RETRY_DELAY_MS: Final = 5000
 
+#: Delay of a repeated registration after a restore of the store, at most: 5 ms
+#: per known node, so that 200 entries per second are written, but no less than
+#: 500 ms. The store may have lost the entries of all nodes.
+_RESTORED_DELAY_PER_NODE_MS: Final = 5
+_RESTORED_DELAY_MS: Final = 500
+
+#: Mean delay after a failed repeat. The store has just answered a node, so
+#: that an outage is unlikely.
+_RESTORED_RETRY_DELAY_MS: Final = 500
+
 
 class DirectoryClient:
     """Reads the list while this node has no peers, and registers this node.
 
+    A restore of the store may have taken the entry away, so the registration
+    is repeated in each era of the store.
+
     Args:
         clock: Source of delays.
         random: Source of the jitter.
         directory: The list.
         roster: This node and its peers.
         introducer: Contacts the hosts of the list.
+        store_era: Learns of restores of the store.
         log: Receives reads and failures.
     """
 
@@ -50,6 +65,7 @@
         '_log',
         '_random',
         '_roster',
+        '_store_era',
     )
 
     def __init__(
@@ -60,6 +76,7 @@
         directory: NodeDirectory,
         roster: Roster,
         introducer: Introducer,
+        store_era: StoreEra,
         log: Log,
     ) -> None:
         self._clock = clock
@@ -67,6 +84,7 @@
         self._directory = directory
         self._roster = roster
         self._introducer = introducer
+        self._store_era = store_era
         self._log = log
 
     def discover(self) -> None:
@@ -84,18 +102,33 @@
             self._clock.sleep_ms(_READ_INTERVAL_MS)
 
     def register(self) -> None:
-        """Adds this node to the list; retries until the store accepts it."""
-        jitter_ms = self._random.randint(0, _REGISTRATION_JITTER_MS)
-        self._clock.sleep_ms(_REGISTRATION_DELAY_MS + jitter_ms)
+        """Keeps this node listed in every era of the store; never returns."""
+        self._clock.sleep_ms(
+            _REGISTRATION_DELAY_MS
+            + self._random.randint(0, _REGISTRATION_JITTER_MS)
+        )
+        retry_delay_ms = _RETRY_DELAY_MS
+        while True:
+            era = self._register_once(retry_delay_ms)
+            self._store_era.wait_beyond(era)
+            delay_ms = _RESTORED_DELAY_PER_NODE_MS * len(self._roster.nodes)
+            self._clock.sleep_ms(
+                self._random.randint(0, max(delay_ms, _RESTORED_DELAY_MS))
+            )
+            retry_delay_ms = _RESTORED_RETRY_DELAY_MS
+
+    def _register_once(self, retry_delay_ms: int) -> int:
+        """Retries until the store accepts the entry; returns its era."""
+        host = self._roster.local_node.host
         while True:
-            host = self._roster.local_node.host
             answer = self._directory.register(host)
             if not isinstance(answer, Err):
-                self._log.event('node_registered', host=host)
-                return
+                era = answer.ok_value
+                self._log.event('node_registered', host=host, era=era)
+                return era
             self._warn('registration_failed', answer.err_value)
             share = self._random.uniform(0.5, 1.5)
-            self._clock.sleep_ms(_RETRY_DELAY_MS * share)
+            self._clock.sleep_ms(retry_delay_ms * share)
 
     def _warn(self, name: str, error: AnvilthreadError) -> None:
         self._log.warning(name, reason=error.reason, remedy=error.remedy)
--- a/anvilthread/flows/node_directory.py
+++ b/anvilthread/flows/node_directory.py
@@ -14,8 +14,12 @@
     method blocks only the calling task.
     """
 
-    def register(self, host: str) -> Result[None, AnvilthreadError]:
-        """Adds a host; succeeds if it is already listed."""
+    def register(self, host: str) -> Result[int, AnvilthreadError]:
+        """Adds a host unless it is already listed.
+
+        Returns:
+            Era of the store in which the host is listed; 0 if it tells none.
+        """
 
     def hosts(self) -> Result[list[str], AnvilthreadError]:
         """Reads the hosts; the list may be a few seconds old."""
