Count a check of the store that returns an older version

Cause: RouteHolder.confirm took an older version for no check at all, so the last check stayed too old. But an answer with a lower version shows that the store holds nothing above the one in force, which is all that a check means; this also holds for the check of a peer with a lower version.

--- a/anvilthread/flows/configuration_follower.py
+++ b/anvilthread/flows/configuration_follower.py
@@ -111,7 +111,7 @@
                 self._newer_host = host
             self._newer_available.set()
         else:
-            self._routes.confirm(version, check_age_ms)
+            self._routes.confirm(check_age_ms)
 
     def follow_store(self) -> None:
         """Reads the store whenever the last check is too old; never returns."""
@@ -176,7 +176,7 @@
                 remedy='none needed; the newer version stays in force',
             )
         self._routes.update(table, 'store')
-        self._routes.confirm(table.version, took_ms)
+        self._routes.confirm(took_ms)
         self._introducer.announce()
         self._draw_max_check_age()
         return _POLL_INTERVAL_MS
--- a/anvilthread/flows/route_holder.py
+++ b/anvilthread/flows/route_holder.py
@@ -81,14 +81,16 @@
         )
         return True
 
-    def confirm(self, version: int, check_age_ms: int) -> None:
-        """Records that the store has returned a version.
+    def confirm(self, check_age_ms: int) -> None:
+        """Records that the store held no version above the one in force.
+
+        An older version counts as well: a store that was restored from a copy
+        returns one until the operator has written again what it lost.
 
         Args:
-            version: Version that the store returned.
-            check_age_ms: Age of that answer in ms; negative if unknown.
+            check_age_ms: Age of the store's answer in ms; negative if unknown.
         """
-        if check_age_ms < 0 or version < self._table.version:
+        if check_age_ms < 0:
             return
         checked_at_ms = self._clock.now_ms() - check_age_ms
         if self._checked_at_ms is None or checked_at_ms > self._checked_at_ms:
--- a/standins/flow_cluster.py
+++ b/standins/flow_cluster.py
@@ -384,7 +384,7 @@
         self.table = table
         for node in self.nodes.values():
             node.routes.update(table, 'test')
-            node.routes.confirm(table.version, 0)
+            node.routes.confirm(0)
 
     def _add(self, host: str, role: NodeRole, service: str) -> FlowNode:
         record = NodeRecord(
@@ -397,7 +397,7 @@
         contacts = ['10.0.0.1', '10.0.0.2']
         node = FlowNode(cluster=self, record=record, contacts=contacts)
         node.routes.update(self.table, 'test')
-        node.routes.confirm(self.table.version, 0)
+        node.routes.confirm(0)
         self.nodes[host] = node
         return node
 
--- a/tests/flows/test_configuration_follower.py
+++ b/tests/flows/test_configuration_follower.py
@@ -163,6 +163,25 @@
     assert node.routes.table.version == 12
 
 
+@pytest.mark.parametrize(
+    ('peer_version', 'counts'), [(8, True), (9, True), (10, False)]
+)
+def test_check_of_a_peer_with_a_higher_version_does_not_count(
+    node: _Node, peer_version: int, counts: bool
+) -> None:
+    """Guards against an outdated node that takes its version for checked.
+
+    A peer with a lower version has found nothing above it in the store, and
+    so nothing above this node's version either.
+    """
+    node.source.version = 9
+    node.advance(100)
+    node.source.is_up = False
+    node.advance(3000)
+    node.follower.on_version('10.0.0.9', peer_version, 20)
+    assert (node.routes.check_age_ms == 20) is counts
+
+
 def test_another_peer_is_asked_after_a_failed_read(node: _Node) -> None:
     """Guards against a node stuck on an unreachable peer.
 
