--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -205,12 +205,15 @@
 
     def set_store(self, **faults: object) -> None:
         """Sets the faults of the store."""
-        request = Request(
-            f'http://{self._files.store}/control/faults',
-            data=json.dumps(faults).encode(),
-            method='PUT',
-        )
-        urlopen(request, timeout=5).close()
+        self._control_store('faults', json.dumps(faults).encode())
+
+    def save_store_copy(self) -> None:
+        """Saves a copy of the store's contents."""
+        self._control_store('copy')
+
+    def restore_store_copy(self) -> None:
+        """Restores the store's contents from the last saved copy."""
+        self._control_store('restore')
 
     def apply(self, deadline_ms: int) -> float:
         """Applies a change and waits until it is in force at every node.
@@ -324,6 +327,14 @@
         """Returns the address at which clients reach a service."""
         return Address(host=self.plan.ip(9, 1), port=service.port)
 
+    def _control_store(self, action: str, body: bytes = b'') -> None:
+        request = Request(
+            f'http://{self._files.store}/control/{action}',
+            data=body,
+            method='PUT',
+        )
+        urlopen(request, timeout=5).close()
+
     def _record_drain(self, number: int) -> None:
         self.drained_at_s[number] = time.monotonic()
         self.trace.add('drain_started', f'agent-{number}')
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -76,6 +76,7 @@
         self.services: dict[str, str] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self._version = 0
+        self._document = b''
         self.checker = InvariantChecker(
             find_holder=self._find_holder, permanent_ports=ROUTES
         )
@@ -150,7 +151,12 @@
             ],
             'limits': {'idle_timeout_ms': 15_000},
         }
-        self.store.write('op/config', msgspec.json.encode(document))
+        self._document = msgspec.json.encode(document)
+        self.write_configuration()
+
+    def write_configuration(self) -> None:
+        """Writes the latest configuration to the store, again if it was lost."""
+        self.store.write('op/config', self._document)
 
     def start_process(self, host: str) -> None:
         """Starts the process of a VM."""
--- a/soak/connection_faults.py
+++ b/soak/connection_faults.py
@@ -23,6 +23,10 @@
 
 _MAX_CONCURRENT_FAULTS: Final = 3
 
+#: Time until a change is in force at the nodes, and until they have written
+#: back what a restore of the store took away.
+_IN_FORCE_S: Final = 3.0
+
 
 class ConnectionFaults:
     """Injects random faults and changes into one cluster.
@@ -55,6 +59,7 @@
             self.stop_store,
             self.slow_store,
             self.lose_answers,
+            self.restore_store,
             self.lose_packets,
             self.reorder_packets,
             self.apply,
@@ -132,6 +137,24 @@
         """Makes the store lose answers of writes that it has applied."""
         self._inject_store_fault(lost_answers=3)
 
+    def restore_store(self) -> None:
+        """Brings the store back from a copy that lacks a change in force.
+
+        The next change is based on the lost one, so the store refuses it
+        unless the nodes have written the lost one back.
+        """
+        with self._store_lock:
+            self._cluster.save_store_copy()
+            # Waiting for each node would fail beside a fault that ends one.
+            self._cluster.submit(self._random.randint(5000, 9000))
+            time.sleep(_IN_FORCE_S)
+            self._cluster.set_store(outage=True)
+            time.sleep(self._random.uniform(0.1, 2.0))
+            self._cluster.restore_store_copy()
+            self._cluster.set_store()
+            time.sleep(_IN_FORCE_S)
+            self._cluster.submit(self._random.randint(5000, 9000))
+
     def lose_packets(self) -> None:
         """Makes the fabric lose packets."""
         self._inject_fabric_fault(loss=0.03)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -41,6 +41,7 @@
             self.busy_store,
             self.slow_store,
             self.lose_answers,
+            self.restore_store,
             self.refuse_nodes,
         )
         self.unplanned = (
@@ -140,6 +141,26 @@
         """Makes the store lose half of its answers."""
         self._set_store('lost')
 
+    def restore_store(self) -> None:
+        """Brings the store back from a copy that lacks the latest writes.
+
+        The operator writes the lost configuration again, mostly before any
+        node has read the copy.
+        """
+        cluster = self._cluster
+        copy = cluster.store.save_copy()
+        gevent.sleep(self._random.uniform(0.2, 4.0))
+        cluster.store.mode = 'silent'
+        gevent.sleep(self._random.uniform(0.1, 1.5))
+        cluster.store.restore_copy(copy)
+        cluster.store.mode = 'up'
+        gevent.sleep(self._random.choice((0, 0, 0.6)))
+        removal_times_s = cluster.checker.route_removed_s
+        cluster.write_configuration()
+        if EXTRA_PORT in removal_times_s:
+            # The removal may have been lost before any node had read it.
+            removal_times_s[EXTRA_PORT] = time.monotonic()
+
     def refuse_nodes(self) -> None:
         """Makes the store reject the calls of two nodes."""
         store = self._cluster.store
--- a/standins/store.py
+++ b/standins/store.py
@@ -1,7 +1,9 @@
 """A key-value store stand-in with the Consul KV HTTP API.
 
 Run ``python -m standins.store --listen 127.0.0.1:8500``.
-``PUT /control/faults`` with a JSON body sets the faults.
+``PUT /control/faults`` with a JSON body sets the faults, ``PUT /control/copy``
+saves a copy of all keys and sessions, and ``PUT /control/restore`` returns to
+it.
 """
 
 from collections.abc import Callable, Iterable
@@ -76,6 +78,7 @@
         self.state = StoreState(
             clock=clock, random=Random(seed), limits=limits or StoreLimits()
         )
+        self._copy = self.state.save_copy()
         self._server = WSGIServer(
             listen.endpoint, self._serve, log=None, error_log=None
         )
@@ -134,6 +137,10 @@
                 return Answer(
                     status='400 Bad Request', body=str(error).encode()
                 )
+        if path == '/control/copy' and method == 'PUT':
+            self._copy = self.state.save_copy()
+        if path == '/control/restore' and method == 'PUT':
+            self.state.restore_copy(self._copy)
         if path == '/control/counts':
             totals = {kind: self.state.total(kind) for kind in CallKind}
             return Answer(body=msgspec.json.encode(totals))
