Let an operator replace what a restored store has lost

What operators saw: the store had lost revisions that the nodes hold, and no command led out of it.

Cause: a change is numbered after the store's revision, taken as the highest that was ever confirmed.

Evidence: test_operator_can_replace_what_the_store_has_lost, for a fork and for nodes that cannot reach the store: refused without the option, in force at all nodes after 3 s with it. test_superseding_change_yields_to_a_later_one keeps the compare-and-swap.

--- a/anvilthread/commands/config_commands.py
+++ b/anvilthread/commands/config_commands.py
@@ -74,6 +74,15 @@
     ),
 ]
 
+SupersedeOption: TypeAlias = Annotated[
+    bool,
+    typer.Option(
+        '--supersede',
+        help='Number the change above the revision of the node, which the '
+        'store has lost; needs --node.',
+    ),
+]
+
 _MS_PER_SECOND: Final = 1000
 #: Errors after which it is unknown whether the store has the change.
 _UNANSWERED: Final = (ApplyUnavailable, ApplyUnknown, StoreUnavailable)
@@ -134,13 +143,22 @@
     revision: RevisionOption = None,
     node: NodeOption = None,
     keys: KeysOption = None,
+    supersede: SupersedeOption = False,
     as_json: JsonOption = False,
 ) -> None:
     """Applies files as the next revision."""
+    if supersede and node is None:
+        error = AnvilthreadError(
+            reason='--supersede needs the revision of a node',
+            remedy='add --node HOST:PORT',
+        )
+        raise CommandFailure(error=error, exit_code=ExitCode.USAGE)
     gateway = components.open_configuration(
         store, partial(_node_revision, node, keys)
     )
-    outcome = gateway.apply(directory, operator=operator, revision=revision)
+    outcome = gateway.apply(
+        directory, operator=operator, revision=revision, supersede=supersede
+    )
     applied = require(outcome, _apply_exit_code(outcome))
     if as_json:
         print_json(applied)
--- a/anvilthread/commands/configuration_gateway.py
+++ b/anvilthread/commands/configuration_gateway.py
@@ -37,7 +37,12 @@
         """
 
     def apply(
-        self, directory: Path, *, operator: str, revision: int | None
+        self,
+        directory: Path,
+        *,
+        operator: str,
+        revision: int | None,
+        supersede: bool,
     ) -> Result[RevisionSummary, AnvilthreadError]:
         """Checks the files and makes them the next revision.
 
@@ -46,6 +51,8 @@
             operator: Name of the operator who applies them.
             revision: Revision that the files are based on; None only for
                 the first one.
+            supersede: Whether to number the change above the revisions of the
+                nodes, although the store has lost those.
         """
 
     def show(self, *, site: str) -> Result[str, AnvilthreadError]:
--- a/anvilthread/commands/store_gateway.py
+++ b/anvilthread/commands/store_gateway.py
@@ -59,7 +59,12 @@
         return Ok(sorted(loaded.ok_value))
 
     def apply(
-        self, directory: Path, *, operator: str, revision: int | None
+        self,
+        directory: Path,
+        *,
+        operator: str,
+        revision: int | None,
+        supersede: bool,
     ) -> Result[RevisionSummary, AnvilthreadError]:
         """Checks the files and makes them the next revision."""
         texts = read_texts(directory)
@@ -80,6 +85,7 @@
                 expected=expected.ok_value,
                 change_id=uuid.uuid4().hex,
                 operator=operator,
+                supersede=supersede,
             )
         )
         if isinstance(applied, Err):
--- a/anvilthread/configuration/applier.py
+++ b/anvilthread/configuration/applier.py
@@ -140,16 +140,19 @@
         if isinstance(found, Err):
             return _read_failure(found.err_value)
         snapshot, stored = found.ok_value
-        resolved = self._resolve(proposal, stored, maybe_written=maybe_written)
-        return resolved or self._write(proposal, snapshot, stored)
+        known = max(self._peer_revision(), proposal.expected)
+        resolved = _resolve(
+            proposal, stored, known, maybe_written=maybe_written
+        )
+        if resolved is not None:
+            return resolved
+        return self._write(
+            snapshot, self._next_record(proposal, stored, known + 1)
+        )
 
     def _write(
-        self,
-        proposal: Proposal,
-        snapshot: Snapshot,
-        stored: ConfigurationRecord | None,
+        self, snapshot: Snapshot, record: ConfigurationRecord
     ) -> Outcome | StoreError:
-        record = self._next_record(proposal, stored)
         encoded = encode_record(record)
         if isinstance(encoded, Err):
             error = encoded.err_value
@@ -168,48 +171,14 @@
             )
         return failure
 
-    def _resolve(
+    def _next_record(
         self,
         proposal: Proposal,
         stored: ConfigurationRecord | None,
-        *,
-        maybe_written: bool,
-    ) -> Outcome | StoreError | None:
-        """Returns the outcome if the record in the store determines it.
-
-        Args:
-            proposal: The change.
-            stored: Record in the store, if there is one.
-            maybe_written: Whether the answer of an earlier write was lost.
-        """
-        revision = stored.revision if stored else 0
-        if stored is not None:
-            applied = stored.find(proposal.change_id)
-            if applied is not None:
-                return Ok(
-                    Applied(
-                        revision=applied.revision,
-                        is_new=maybe_written,
-                        record=stored,
-                    )
-                )
-        known = max(self._peer_revision(), proposal.expected)
-        if revision < known:
-            # The nodes may already have the change whose answer was lost.
-            if maybe_written:
-                return StoreUnavailable(reason='it returned outdated data')
-            return Err(ApplyStoreBehind(stored=revision, known=known))
-        if stored is not None and stored.texts == proposal.texts:
-            return Ok(Applied(revision=revision, is_new=False, record=stored))
-        if stored is not None and revision != proposal.expected:
-            return Err(_conflict(proposal, stored))
-        return None
-
-    def _next_record(
-        self, proposal: Proposal, stored: ConfigurationRecord | None
+        revision: int,
     ) -> ConfigurationRecord:
         change = Change(
-            revision=proposal.expected + 1,
+            revision=revision,
             change_id=proposal.change_id,
             operator=proposal.operator,
             applied_ms=self._clock.wall_ms(),
@@ -242,6 +211,57 @@
         )
 
 
+def _resolve(
+    proposal: Proposal,
+    stored: ConfigurationRecord | None,
+    known: int,
+    *,
+    maybe_written: bool,
+) -> Outcome | StoreError | None:
+    """Returns the outcome if the record in the store determines it.
+
+    Args:
+        proposal: The change.
+        stored: Record in the store, if there is one.
+        known: Highest revision known to nodes or to the operator.
+        maybe_written: Whether the answer of an earlier write was lost.
+    """
+    revision = stored.revision if stored else 0
+    if stored is not None:
+        applied = stored.find(proposal.change_id)
+        if applied is not None:
+            return Ok(
+                Applied(
+                    revision=applied.revision,
+                    is_new=maybe_written,
+                    record=stored,
+                )
+            )
+    if revision < known:
+        return _resolve_behind(
+            proposal, revision, known, maybe_written=maybe_written
+        )
+    if stored is None:
+        return None
+    if stored.texts == proposal.texts:
+        return Ok(Applied(revision=revision, is_new=False, record=stored))
+    if revision == proposal.expected:
+        return None
+    return Err(_conflict(proposal, stored))
+
+
+def _resolve_behind(
+    proposal: Proposal, revision: int, known: int, *, maybe_written: bool
+) -> Outcome | StoreError | None:
+    """Returns the outcome if the store holds less than the nodes."""
+    if proposal.supersede and revision == proposal.expected:
+        return None
+    # The nodes may already have the change whose answer was lost.
+    if maybe_written:
+        return StoreUnavailable(reason='it returned outdated data')
+    return Err(ApplyStoreBehind(stored=revision, known=known))
+
+
 def _read_failure(
     error: StoreError | RecordFormatError,
 ) -> Outcome | StoreError:
--- a/anvilthread/configuration/apply_error.py
+++ b/anvilthread/configuration/apply_error.py
@@ -50,7 +50,8 @@
         super().__init__(
             reason=f'the store holds revision {stored}, but revision {known} '
             'is in force; the store was restored from a backup',
-            remedy='restore the record of a node to the store, then apply',
+            remedy='apply again after 3 s, when the nodes have written their '
+            'record back; to replace that record, add --supersede',
         )
 
 
--- a/anvilthread/configuration/lost_record_writer.py
+++ b/anvilthread/configuration/lost_record_writer.py
@@ -113,8 +113,8 @@
         self._last_fork = stored.change.change_id
         logging.error(
             'event=configuration_forked stored=%d change=%s in_force=%d '
-            'remedy="apply the intended files again, as a change of a node\'s '
-            'record"',
+            'remedy="apply the intended files again with --node and '
+            '--supersede"',
             stored.revision,
             stored.change.change_id,
             in_force.revision,
--- a/tests/commands/test_config_commands.py
+++ b/tests/commands/test_config_commands.py
@@ -28,15 +28,22 @@
     def __init__(self) -> None:
         self.error: AnvilthreadError | None = None
         self.changes = ''
+        self.supersedes = False
 
     def check(self, directory: Path) -> Result[Sequence[str], AnvilthreadError]:
         """Returns two sites."""
         return self._answer(['kgn-a', 'kgn-b'])
 
     def apply(
-        self, directory: Path, *, operator: str, revision: int | None
+        self,
+        directory: Path,
+        *,
+        operator: str,
+        revision: int | None,
+        supersede: bool,
     ) -> Result[RevisionSummary, AnvilthreadError]:
         """Returns the next revision."""
+        self.supersedes = supersede
         return self._answer(REVISION)
 
     def show(self, *, site: str) -> Result[str, AnvilthreadError]:
@@ -88,6 +95,18 @@
     assert (code, out, err) == (failure, '', 'error: revision 9 won; diff\n')
 
 
+@pytest.mark.parametrize('options', [(), ('--node', '10.1.0.21:7947')])
+def test_supersede_needs_a_node(
+    options: tuple[str, ...], gateway: _Gateway, command: Command
+) -> None:
+    """Guards against a revision that nodes ignore, chosen without them."""
+    code, _, err = command(
+        'config', 'apply', 'd', *STORE, '--supersede', *options
+    )
+    assert gateway.supersedes is bool(options)
+    assert (code == ExitCode.USAGE) is not bool(options), err
+
+
 def test_diff_reports_whether_something_changes(
     gateway: _Gateway, command: Command
 ) -> None:
--- a/tests/configuration/test_restored_store.py
+++ b/tests/configuration/test_restored_store.py
@@ -7,12 +7,15 @@
 from collections.abc import Iterator
 from random import Random
 
+import msgspec
 import pytest
 from result import Result
 
 from anvilthread.configuration import (
     STORE_KEY,
     Applier,
+    ApplyConflict,
+    ApplyStoreBehind,
     ConfigurationRecord,
     decode_record,
     encode_record,
@@ -128,6 +131,51 @@
     assert _stored(fleet).change.change_id == 'fork'
 
 
+@pytest.mark.parametrize('is_forked', [True, False])
+def test_operator_can_replace_what_the_store_has_lost(is_forked: bool) -> None:
+    """Guards against confirmed changes that no node ever puts in force.
+
+    Pattern: a change is applied on top of the restored record, or no node
+    reaches the store to write its record back.
+    """
+    fleet, copy = _changed_fleet(6)
+    for store in fleet.stores.values():
+        store.reachable = False
+    fleet.state.restore_copy(copy)
+    stored = 1
+    if is_forked:
+        fork = Change(revision=2, change_id='fork', operator='x', applied_ms=0)
+        forked = _stored(fleet).followed_by(fork, texts(9))
+        fleet.state.restore(STORE_KEY, encode_record(forked).unwrap())
+        stored = 2
+    change = proposal(deadline_ms=9, expected=stored)
+    refused = fleet.apply(change).unwrap_err()
+    assert isinstance(refused, ApplyStoreBehind)
+    superseding = msgspec.structs.replace(change, supersede=True)
+    applied = fleet.apply(superseding).unwrap()
+    assert (applied.revision, applied.is_new) == (5, True)
+    for store in fleet.stores.values():
+        store.reachable = True
+    fleet.clock.advance(_TARGET_MS)
+    assert fleet.revisions() == {5}
+    assert fleet.apply(superseding).unwrap().is_new is False
+    fleet.stop()
+
+
+def test_superseding_change_yields_to_a_later_one() -> None:
+    """Guards against a replacement that reverts what it has not read."""
+    fleet = Fleet(size=6)
+    for revision in (1, 2):
+        change = proposal(deadline_ms=revision, expected=revision - 1)
+        fleet.apply(change).unwrap()
+        fleet.clock.advance(_TARGET_MS)
+    late = msgspec.structs.replace(
+        proposal(deadline_ms=7, expected=1), supersede=True
+    )
+    assert isinstance(fleet.apply(late).unwrap_err(), ApplyConflict)
+    fleet.stop()
+
+
 class _RestoredBeforeWrite(MemoryStore):
     """The store is restored, and changed, before a write arrives."""
 
