Count fencing numbers beside the lease, above a restored store's

What embedding programs would see: after a restore, the former holder of a lease passes the fence beside the present one.

Cause: ConsulStore took LockIndex, the store's count of lock holders, which a restore takes back to that of the copy.

Evidence: test_fencing_numbers_rise_across_a_restore, both stores, fails before and passes now.

Change: the holder advances a counter beside the lease by compare-and-swap, and never gives out less than the time of day. So numbers rise by one without a restore whatever the clocks do (test_fencing_numbers_rise_when_clocks_jump), and with one as long as clocks differ by less than the time between two holders. It costs a read and a write for each acquisition.

--- a/anvilthread/store/consul_messages.py
+++ b/anvilthread/store/consul_messages.py
@@ -10,7 +10,6 @@
     """
 
     modify_index: int
-    lock_index: int = 0
     value: bytes | None = None
     session: str | None = None
 
--- a/anvilthread/store/consul_store.py
+++ b/anvilthread/store/consul_store.py
@@ -17,6 +17,7 @@
     SessionCreated,
     SessionRequest,
 )
+from anvilthread.store.fencing_counter import FencingCounter
 from anvilthread.store.lease import Lease
 from anvilthread.store.snapshot import Snapshot
 from anvilthread.store.store_error import (
@@ -46,13 +47,14 @@
         timeout_ms: Longest time of a call, without the wait of a watch.
     """
 
-    __slots__ = ('_clock', '_http')
+    __slots__ = ('_clock', '_fencing', '_http')
 
     def __init__(
         self, *, url: str, clock: Clock, timeout_ms: int = _TIMEOUT_MS
     ) -> None:
         self._clock = clock
         self._http = ConsulHttp(url=url, timeout_ms=timeout_ms)
+        self._fencing = FencingCounter(store=self, clock=clock)
 
     @property
     def counts(self) -> CallCounts:
@@ -95,10 +97,21 @@
         session = created.ok_value
         path = f'{_path(name)}?acquire={session}'
         self._http.write(path, CallKind.LEASE)
-        # The read resolves a lost answer and returns the fencing number.
+        # The read resolves a lost answer.
         holder = self._http.read(f'{_path(name)}?consistent', CallKind.LEASE)
-        return holder.and_then(_read_entry).and_then(
-            lambda entry: _lease(name, session, entry, start_ms, ttl_ms)
+        entry = holder.and_then(_read_entry)
+        if isinstance(entry, Err):
+            return entry
+        if entry.ok_value.session != session:
+            return Err(StoreConflict(key=name))
+        return self._fencing.advance(name).map(
+            lambda number: Lease(
+                name=name,
+                session=session,
+                fencing=number,
+                ttl_ms=ttl_ms,
+                expires_ms=start_ms + ttl_ms,
+            )
         )
 
     def renew(self, lease: Lease) -> Result[Lease, StoreError]:
@@ -134,22 +147,6 @@
     return f'/v1/kv/{quote(key)}'
 
 
-def _lease(
-    name: str, session: str, entry: KeyEntry, start_ms: int, ttl_ms: int
-) -> Result[Lease, StoreError]:
-    if entry.session != session:
-        return Err(StoreConflict(key=name))
-    return Ok(
-        Lease(
-            name=name,
-            session=session,
-            fencing=entry.lock_index,
-            ttl_ms=ttl_ms,
-            expires_ms=start_ms + ttl_ms,
-        )
-    )
-
-
 def _read_snapshot(response: BaseHTTPResponse) -> Result[Snapshot, StoreError]:
     try:
         index = int(response.headers.get('X-Consul-Index', '0'))
--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -17,6 +17,7 @@
     StoreRefused,
     StoreUnavailable,
 )
+from anvilthread.store.fencing_counter import FencingCounter
 from standins.store_state import MAX_VALUE_BYTES, StoredValue, StoreState
 
 _Answer = TypeVar('_Answer')
@@ -37,6 +38,7 @@
         self._state = state
         self._clock = clock
         self._counts = CallCounts()
+        self._fencing = FencingCounter(store=self, clock=clock)
         self.reachable = True
 
     @property
@@ -88,11 +90,11 @@
             name,
             lambda: self._state.lock(name, b'', holder) or None,
         )
-        return locked.map(
-            lambda done: Lease(
+        return locked.and_then(lambda done: self._fencing.advance(name)).map(
+            lambda number: Lease(
                 name=name,
                 session=holder,
-                fencing=self._state.read(name).lock_index,
+                fencing=number,
                 ttl_ms=ttl_ms,
                 expires_ms=expires_ms,
             )
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -110,6 +110,8 @@
     store, state = store_and_state
     copy = state.save_copy()
     lost = store.acquire('lease', _TTL_MS).unwrap()
+    # A restore takes far longer than the resolution of the time of day.
+    gevent.sleep(0.01)
     state.restore_copy(copy)
     holder = store.acquire('lease', _TTL_MS).unwrap()
     fence = Fence()
@@ -118,6 +120,46 @@
     assert not fence.admits(lost.fencing)
 
 
+class _SteppedClock(ManualClock):
+    """A clock whose time of day can be stepped."""
+
+    __slots__ = ('offset_ms',)
+
+    def __init__(self) -> None:
+        super().__init__(start_ms=10)
+        self.offset_ms = 0
+
+    def wall_ms(self) -> int:
+        """Time of day."""
+        return super().wall_ms() + self.offset_ms
+
+
+@pytest.mark.parametrize('step_ms', [0, 3_600_000, -3_600_000])
+def test_fencing_numbers_rise_when_clocks_jump(step_ms: int) -> None:
+    """Guards against a holder that is refused since its clock is behind."""
+    clock = _SteppedClock()
+    state = StoreState(clock=clock, random=Random(1), limits=StoreLimits())
+    store = MemoryStore(state=state, clock=clock)
+    numbers = []
+    for _ in range(3):
+        lease = store.acquire('lease', _TTL_MS).unwrap()
+        numbers.append(lease.fencing)
+        assert store.release(lease).is_ok()
+        clock.offset_ms += step_ms
+    assert numbers == sorted(set(numbers))
+
+
+@pytest.mark.parametrize('value', [b'', b'x', b'-1', b'9' * 5000])
+def test_malformed_fencing_counter_is_an_error(
+    store_and_state: tuple[Store, StoreState], value: bytes
+) -> None:
+    """Guards against a crash on a counter that something else has written."""
+    store, state = store_and_state
+    state.restore('lease/fencing', value)
+    outcome = store.acquire('lease', _TTL_MS)
+    assert isinstance(outcome.unwrap_err(), StoreUnavailable)
+
+
 def test_lease_lapses_after_its_ttl(
     store_and_state: tuple[Store, StoreState],
 ) -> None:
