Register once for an era that the store does not confirm

Found while reading the change: a node that has heard of an era above the store's own, through a damaged hello, registered again without end (79 calls in 20 s of virtual time in test_wrong_era_of_a_peer_causes_one_write, 2 now).

--- a/anvilthread/flows/directory_client.py
+++ b/anvilthread/flows/directory_client.py
@@ -118,14 +118,20 @@
             retry_delay_ms = _RESTORED_RETRY_DELAY_MS
 
     def _register_once(self, retry_delay_ms: int) -> int:
-        """Retries until the store accepts the entry; returns its era."""
+        """Retries until the store accepts the entry.
+
+        Returns:
+            Era in which the entry exists, or the one known before the call if
+            that is higher: a wrong era of a peer must not cause a loop.
+        """
         host = self._roster.local_node.host
         while True:
+            known_era = self._store_era.number
             answer = self._directory.register(host)
             if not isinstance(answer, Err):
                 era = answer.ok_value
                 self._log.event('node_registered', host=host, era=era)
-                return era
+                return max(era, known_era)
             self._warn('registration_failed', answer.err_value)
             share = self._random.uniform(0.5, 1.5)
             self._clock.sleep_ms(retry_delay_ms * share)
--- a/tests/flows/test_discovery.py
+++ b/tests/flows/test_discovery.py
@@ -209,6 +209,18 @@
         assert directory.listed == ['10.0.0.1']
 
 
+def test_wrong_era_of_a_peer_causes_one_write() -> None:
+    """Guards against a node that registers in a loop."""
+    directory = _Directory()
+    era = StoreEra(log=MemoryLog())
+    client, _, clock = _directory_client(directory, _Network(), era)
+    gevent.spawn(client.register)
+    clock.advance(6000)
+    era.observe(10**9, 'peer')
+    clock.advance(20_000)
+    assert directory.registrations == 2
+
+
 def test_entry_is_written_once_an_era() -> None:
     """Guards against writes that grow with the calls of a node."""
     directory = _Directory()
