Tie the write of a record to the content that it replaces

What operators would see: a change that was confirmed after a restore of the store disappears, without a conflict.

Cause: a compare-and-swap names an index. After a restore from an older copy the store gives the same index to other content, and a write that was prepared before, or that the store carries out seconds late, replaces what its writer has never read. An attempt also took any record with the expected revision for the one that it was based on, though revisions repeat as well.

Change: a WriteGuard adds to the transaction a key named after the content. The write needs the guard key of the content that was read, at the same revision, and replaces it by its own. Both clients, both stand-ins and the memory store take it; records of earlier releases have none and are replaced by their index (test_record_that_was_written_alone_is_replaced). One more read for each change. ConsulStore now uses /v1/txn.

--- a/anvilthread/configuration/applier.py
+++ b/anvilthread/configuration/applier.py
@@ -29,6 +29,7 @@
     decode_record,
     encode_record,
 )
+from anvilthread.configuration.record_writer import RecordWriter
 from anvilthread.store import (
     Snapshot,
     Store,
@@ -49,6 +50,28 @@
 Outcome = Result[Applied, ApplyError | InvalidConfigurationError]
 
 
+class _Progress:
+    """What the earlier attempts to apply a change have shown.
+
+    Attributes:
+        maybe_written: Whether the answer of a write was lost.
+    """
+
+    __slots__ = ('_base_id', 'maybe_written')
+
+    def __init__(self) -> None:
+        self.maybe_written = False
+        self._base_id = ''
+
+    def is_based_on(self, stored: ConfigurationRecord) -> bool:
+        """Returns whether every attempt has found the same record.
+
+        After a restore of the store, another record may have its revision.
+        """
+        self._base_id = self._base_id or stored.change.change_id
+        return stored.change.change_id == self._base_id
+
+
 class Applier:
     """Applies changes by compare-and-swap on one value.
 
@@ -66,6 +89,7 @@
         '_deadline_ms',
         '_peer_revision',
         '_random',
+        '_record_writer',
         '_store',
     )
 
@@ -79,6 +103,7 @@
         deadline_ms: int = _DEADLINE_MS,
     ) -> None:
         self._store = store
+        self._record_writer = RecordWriter(key=STORE_KEY, store=store)
         self._clock = clock
         self._random = random
         self._peer_revision = peer_revision
@@ -99,19 +124,18 @@
             return Err(loaded.err_value)
         deadline_ms = self._clock.now_ms() + self._deadline_ms
         backoff = self._backoff()
-        maybe_written = False
+        progress = _Progress()
         while True:
-            attempt = self._attempt(proposal, maybe_written=maybe_written)
+            attempt = self._attempt(proposal, progress)
             if not isinstance(attempt, StoreError):
                 return attempt
-            maybe_written = maybe_written or isinstance(
-                attempt, StoreAnswerLost
-            )
+            if isinstance(attempt, StoreAnswerLost):
+                progress.maybe_written = True
             delay_ms = backoff.next_ms()
             if self._clock.now_ms() + delay_ms >= deadline_ms:
                 return Err(
                     _deadline_error(
-                        proposal, attempt, maybe_written=maybe_written
+                        proposal, attempt, maybe_written=progress.maybe_written
                     )
                 )
             self._clock.sleep_ms(delay_ms)
@@ -125,7 +149,9 @@
         if stored is not None and stored.revision >= record.revision:
             return Ok(None)
         written = encode_record(record).and_then(
-            lambda value: self._store.put(STORE_KEY, value, snapshot.revision)
+            lambda value: self._record_writer.write(
+                record, value, snapshot=snapshot, replaced=stored
+            )
         )
         return written.map_err(
             lambda error: ApplyRefused(
@@ -134,7 +160,7 @@
         )
 
     def _attempt(
-        self, proposal: Proposal, *, maybe_written: bool
+        self, proposal: Proposal, progress: '_Progress'
     ) -> Outcome | StoreError:
         found = self._read()
         if isinstance(found, Err):
@@ -142,23 +168,27 @@
         snapshot, stored = found.ok_value
         known = max(self._peer_revision(), proposal.expected)
         resolved = _resolve(
-            proposal, stored, known, maybe_written=maybe_written
+            proposal, stored, known, maybe_written=progress.maybe_written
         )
         if resolved is not None:
             return resolved
-        return self._write(
-            snapshot, self._next_record(proposal, stored, known + 1)
-        )
+        if stored is not None and not progress.is_based_on(stored):
+            return Err(_conflict(proposal, stored))
+        record = self._next_record(proposal, stored, known + 1)
+        return self._write(record, snapshot, stored)
 
     def _write(
-        self, snapshot: Snapshot, record: ConfigurationRecord
+        self,
+        record: ConfigurationRecord,
+        snapshot: Snapshot,
+        stored: ConfigurationRecord | None,
     ) -> Outcome | StoreError:
         encoded = encode_record(record)
         if isinstance(encoded, Err):
             error = encoded.err_value
             return Err(ApplyRefused(reason=error.reason, remedy=error.remedy))
-        written = self._store.put(
-            STORE_KEY, encoded.ok_value, snapshot.revision
+        written = self._record_writer.write(
+            record, encoded.ok_value, snapshot=snapshot, replaced=stored
         )
         if isinstance(written, Ok):
             return Ok(
--- a/anvilthread/configuration/configuration_node.py
+++ b/anvilthread/configuration/configuration_node.py
@@ -11,6 +11,7 @@
 from anvilthread.configuration.lost_record_writer import LostRecordWriter
 from anvilthread.configuration.peers import ConfigurationPeers
 from anvilthread.configuration.record import ConfigurationRecord
+from anvilthread.configuration.record_writer import RecordWriter
 from anvilthread.configuration.replicator import Replicator
 from anvilthread.configuration.store_watcher import StoreWatcher
 from anvilthread.store import Store
@@ -57,8 +58,7 @@
             random=random,
             on_record=self._replicator.receive_record,
             lost_record_writer=LostRecordWriter(
-                key=STORE_KEY,
-                store=store,
+                record_writer=RecordWriter(key=STORE_KEY, store=store),
                 holder=self._holder,
                 clock=clock,
                 random=random,
--- a/anvilthread/configuration/lost_record_writer.py
+++ b/anvilthread/configuration/lost_record_writer.py
@@ -9,7 +9,8 @@
 from anvilthread.clock import Clock
 from anvilthread.configuration.holder import ConfigurationHolder
 from anvilthread.configuration.record import ConfigurationRecord
-from anvilthread.store import Snapshot, Store, StoreConflict
+from anvilthread.configuration.record_writer import RecordWriter
+from anvilthread.store import Snapshot, StoreConflict
 
 #: Mean time between two attempts of a node, so that stale answers and the
 #: attempts of several nodes cost few writes.
@@ -25,8 +26,7 @@
     that was applied after the restore, and is left alone.
 
     Args:
-        key: Key of the record.
-        store: The platform's store.
+        record_writer: Writes to the platform's store.
         holder: Holder of the record in force.
         clock: Clock of the attempts.
         random: Source of the jitter.
@@ -35,24 +35,21 @@
     __slots__ = (
         '_clock',
         '_holder',
-        '_key',
         '_last_fork',
         '_next_attempt_ms',
         '_random',
-        '_store',
+        '_record_writer',
     )
 
     def __init__(
         self,
         *,
-        key: str,
-        store: Store,
+        record_writer: RecordWriter,
         holder: ConfigurationHolder,
         clock: Clock,
         random: Random,
     ) -> None:
-        self._key = key
-        self._store = store
+        self._record_writer = record_writer
         self._holder = holder
         self._clock = clock
         self._random = random
@@ -82,11 +79,19 @@
         if self._clock.now_ms() >= self._next_attempt_ms:
             interval_ms = _ATTEMPT_INTERVAL_MS * self._random.uniform(0.5, 1.5)
             self._next_attempt_ms = self._clock.now_ms() + int(interval_ms)
-            self._write(in_force, snapshot)
+            self._write(in_force, snapshot, stored)
 
-    def _write(self, record: ConfigurationRecord, snapshot: Snapshot) -> None:
-        written = self._store.put(
-            self._key, self._holder.encoded_record, snapshot.revision
+    def _write(
+        self,
+        record: ConfigurationRecord,
+        snapshot: Snapshot,
+        stored: ConfigurationRecord | None,
+    ) -> None:
+        written = self._record_writer.write(
+            record,
+            self._holder.encoded_record,
+            snapshot=snapshot,
+            replaced=stored,
         )
         if not isinstance(written, Err):
             logging.warning(
--- a/anvilthread/store/__init__.py
+++ b/anvilthread/store/__init__.py
@@ -16,6 +16,7 @@
     StoreRefused,
     StoreUnavailable,
 )
+from anvilthread.store.write_guard import WriteGuard
 
 __all__ = (
     'CallCounts',
@@ -29,4 +30,5 @@
     'StoreError',
     'StoreRefused',
     'StoreUnavailable',
+    'WriteGuard',
 )
--- a/anvilthread/store/consul_http.py
+++ b/anvilthread/store/consul_http.py
@@ -29,6 +29,7 @@
 _MS_PER_SECOND: Final = 1000
 _OK: Final = 200
 _NOT_FOUND: Final = 404
+_CONFLICT: Final = 409
 _TOO_MANY_REQUESTS: Final = 429
 _FIRST_SERVER_ERROR: Final = 500
 _READS: Final = frozenset((CallKind.READ, CallKind.WATCH))
@@ -77,7 +78,7 @@
     def write(
         self, path: str, kind: CallKind, body: bytes = b''
     ) -> Result[BaseHTTPResponse, StoreError]:
-        """Sends a PUT request; the answer has status 200 or 404."""
+        """Sends a PUT request; the answer has status 200, 404 or 409."""
         return self._send('PUT', path, kind, body, 0)
 
     def close(self) -> None:
@@ -127,7 +128,7 @@
 def _classify_response(
     response: BaseHTTPResponse, kind: CallKind
 ) -> Result[BaseHTTPResponse, StoreError]:
-    if response.status in {_OK, _NOT_FOUND}:
+    if response.status in {_OK, _NOT_FOUND, _CONFLICT}:
         return Ok(response)
     status_text = f'status {response.status}: {response.data[:200]!r}'
     if response.status == _TOO_MANY_REQUESTS:
--- a/anvilthread/store/consul_messages.py
+++ b/anvilthread/store/consul_messages.py
@@ -27,6 +27,26 @@
     lock_delay: str = '0s'
 
 
+class KeyOperation(Struct, frozen=True, kw_only=True, rename='pascal'):
+    """Operation on one key in a transaction.
+
+    The JSON codec turns the bytes of the value into Base64 text.
+    """
+
+    verb: str
+    key: str
+    value: bytes = b''
+    index: int = 0
+
+
+class Operation(
+    Struct, frozen=True, kw_only=True, rename={'key_operation': 'KV'}
+):
+    """One element of the body of ``PUT /v1/txn``."""
+
+    key_operation: KeyOperation
+
+
 class SessionCreated(
     Struct, frozen=True, kw_only=True, rename={'session_id': 'ID'}
 ):
--- a/anvilthread/store/consul_store.py
+++ b/anvilthread/store/consul_store.py
@@ -14,6 +14,8 @@
 from anvilthread.store.consul_http import ConsulHttp
 from anvilthread.store.consul_messages import (
     KeyEntry,
+    KeyOperation,
+    Operation,
     SessionCreated,
     SessionRequest,
 )
@@ -26,12 +28,14 @@
     StoreError,
     StoreUnavailable,
 )
+from anvilthread.store.write_guard import WriteGuard
 
 _TIMEOUT_MS: Final = 2000
 _MS_PER_SECOND: Final = 1000
 #: The API accepts sessions of 10 s to one day.
 _MIN_TTL_MS: Final = 10_000
 _NOT_FOUND: Final = 404
+_CONFLICT: Final = 409
 #: The store adds up to one sixteenth to the wait of a blocking query.
 _WAIT_JITTER_DIVISOR: Final = 16
 _entries: Final = msgspec.json.Decoder(list[KeyEntry])
@@ -68,9 +72,18 @@
         return answer.and_then(_read_snapshot)
 
     def put(
-        self, key: str, value: bytes, revision: int
+        self,
+        key: str,
+        value: bytes,
+        revision: int,
+        guard: WriteGuard | None = None,
     ) -> Result[None, StoreError]:
         """Writes a key if its revision is still the given one."""
+        if guard is not None:
+            body = _encode_transaction(key, value, revision, guard)
+            return self._http.write('/v1/txn', CallKind.WRITE, body).and_then(
+                lambda response: _check_committed(response, key)
+            )
         path = f'{_path(key)}?cas={revision}'
         answer = self._http.write(path, CallKind.WRITE, value)
         return answer.and_then(lambda response: _check_written(response, key))
@@ -179,6 +192,33 @@
         return Err(StoreUnavailable(reason=f'malformed answer, {error}'))
 
 
+def _encode_transaction(
+    key: str, value: bytes, revision: int, guard: WriteGuard
+) -> bytes:
+    operations = [
+        KeyOperation(verb='cas', key=key, value=value, index=revision)
+    ]
+    if guard.replaced:
+        operations += [
+            KeyOperation(
+                verb='check-index', key=guard.replaced, index=revision
+            ),
+            KeyOperation(verb='delete', key=guard.replaced),
+        ]
+    operations.append(KeyOperation(verb='set', key=guard.created))
+    return msgspec.json.encode(
+        [Operation(key_operation=operation) for operation in operations]
+    )
+
+
+def _check_committed(
+    response: BaseHTTPResponse, key: str
+) -> Result[None, StoreError]:
+    if response.status == _CONFLICT:
+        return Err(StoreConflict(key=key))
+    return Ok(None)
+
+
 def _check_written(
     response: BaseHTTPResponse, key: str
 ) -> Result[None, StoreError]:
--- a/anvilthread/store/no_store.py
+++ b/anvilthread/store/no_store.py
@@ -6,6 +6,7 @@
 from anvilthread.store.lease import Lease
 from anvilthread.store.snapshot import Snapshot
 from anvilthread.store.store_error import StoreError, StoreUnavailable
+from anvilthread.store.write_guard import WriteGuard
 
 
 class NoStore:
@@ -29,7 +30,11 @@
         return _unavailable()
 
     def put(
-        self, key: str, value: bytes, revision: int
+        self,
+        key: str,
+        value: bytes,
+        revision: int,
+        guard: WriteGuard | None = None,
     ) -> Result[None, StoreError]:
         """Fails."""
         return _unavailable()
--- a/anvilthread/store/store.py
+++ b/anvilthread/store/store.py
@@ -8,6 +8,7 @@
 from anvilthread.store.lease import Lease
 from anvilthread.store.snapshot import Snapshot
 from anvilthread.store.store_error import StoreError
+from anvilthread.store.write_guard import WriteGuard
 
 
 class Store(Protocol):
@@ -27,7 +28,11 @@
         """Reads a key."""
 
     def put(
-        self, key: str, value: bytes, revision: int
+        self,
+        key: str,
+        value: bytes,
+        revision: int,
+        guard: WriteGuard | None = None,
     ) -> Result[None, StoreError]:
         """Writes a key if its revision is still the given one.
 
@@ -35,6 +40,8 @@
             key: Name of the value.
             value: New value, at most 1 MB.
             revision: Revision that was read; 0 if the key must not exist.
+            guard: Tells the content at that revision from other content that
+                got the same revision after a restore of the store.
 
         Returns:
             None if the write took effect.
--- a/standins/memory_store.py
+++ b/standins/memory_store.py
@@ -1,6 +1,7 @@
 """An in-memory store for tests on virtual time."""
 
 from collections.abc import Callable
+from functools import partial
 from typing import Final, TypeVar
 
 from result import Err, Ok, Result
@@ -16,6 +17,7 @@
     StoreError,
     StoreRefused,
     StoreUnavailable,
+    WriteGuard,
 )
 from anvilthread.store.fencing_counter import FencingCounter
 from standins.store_state import MAX_VALUE_BYTES, StoredValue, StoreState
@@ -52,18 +54,23 @@
         return failure or Ok(_snapshot(self._state.read(key)))
 
     def put(
-        self, key: str, value: bytes, revision: int
+        self,
+        key: str,
+        value: bytes,
+        revision: int,
+        guard: WriteGuard | None = None,
     ) -> Result[None, StoreError]:
         """Writes a key if it is still at a revision."""
         if len(value) > MAX_VALUE_BYTES:
             return Err(
                 StoreRefused(reason='value too large', remedy='shorten it')
             )
-        return self._write(
-            CallKind.WRITE,
-            key,
-            lambda: self._state.compare_and_set(key, value, revision) or None,
-        ).map(lambda done: None)
+        change = partial(self._state.compare_and_set, key, value, revision)
+        if guard is not None:
+            change = partial(self._state.commit, key, value, revision, guard)
+        return self._write(CallKind.WRITE, key, lambda: change() or None).map(
+            lambda done: None
+        )
 
     def watch(
         self, key: str, index: int, wait_ms: int
--- a/standins/store_state.py
+++ b/standins/store_state.py
@@ -9,7 +9,7 @@
 from msgspec import Struct
 
 from anvilthread.clock import Clock
-from anvilthread.store import CallKind
+from anvilthread.store import CallKind, WriteGuard
 
 #: Largest value that the store accepts.
 MAX_VALUE_BYTES: Final = 1024 * 1024
@@ -151,6 +151,23 @@
         self._write(key, value, latest.lock_index, latest.session)
         return True
 
+    def commit(
+        self, key: str, value: bytes, index: int, guard: WriteGuard
+    ) -> bool:
+        """Writes a key and its guard if both are still at an index."""
+        if self._latest(key).index != index:
+            return False
+        if guard.replaced and self._latest(guard.replaced).index != index:
+            return False
+        self._index += 1
+        if guard.replaced:
+            self._append(guard.replaced, StoredValue())
+        self._append(guard.created, StoredValue(index=self._index))
+        self._append(key, StoredValue(value=value, index=self._index))
+        self._changed.set()
+        self._changed = Event()
+        return True
+
     def restore(self, key: str, value: bytes) -> None:
         """Overwrites a key, as restoring a backup does."""
         self._write(key, value, 0, None)
@@ -227,19 +244,23 @@
         self, key: str, value: bytes, lock_index: int, session: str | None
     ) -> None:
         self._index += 1
-        versions = self._versions.setdefault(key, [StoredValue()])
-        versions.append(
+        self._append(
+            key,
             StoredValue(
                 value=value,
                 index=self._index,
                 lock_index=lock_index,
                 session=session,
-            )
+            ),
         )
-        del versions[:-_MAX_VERSIONS]
         self._changed.set()
         self._changed = Event()
 
+    def _append(self, key: str, stored: StoredValue) -> None:
+        versions = self._versions.setdefault(key, [StoredValue()])
+        versions.append(stored)
+        del versions[:-_MAX_VERSIONS]
+
     def _expire(self) -> None:
         now_ms = self._clock.now_ms()
         for session, (_, expires_ms) in tuple(self._sessions.items()):
--- a/tests/configuration/test_applier.py
+++ b/tests/configuration/test_applier.py
@@ -156,6 +156,26 @@
     assert outcome.unwrap().revision == 3
 
 
+@pytest.mark.parametrize('has_guard_key', [False, True])
+def test_record_that_was_written_alone_is_replaced(
+    fleet: Fleet, has_guard_key: bool
+) -> None:
+    """Guards against a store that no change can be applied to any more.
+
+    Earlier releases wrote the record without a guard key, and an operator may
+    write a saved record by hand.
+    """
+    empty = fleet.state.save_copy()
+    fleet.apply(proposal()).unwrap()
+    record = fleet.state.read(STORE_KEY).value
+    if not has_guard_key:
+        fleet.state.restore_copy(empty)
+    fleet.state.restore(STORE_KEY, record)
+    for revision in (2, 3):
+        change = proposal(deadline_ms=revision, expected=revision - 1)
+        assert fleet.apply(change).unwrap().revision == revision
+
+
 def test_older_answers_do_not_fork_the_history(fleet: Fleet) -> None:
     """Guards against a change based on data that the store has replaced."""
     fleet.apply(proposal()).unwrap()
--- a/tests/platform/test_metadata_store.py
+++ b/tests/platform/test_metadata_store.py
@@ -16,6 +16,7 @@
     StoreConflict,
     StoreRefused,
     StoreUnavailable,
+    WriteGuard,
 )
 from standins.free_port import free_port
 from standins.metadata_server import MetadataServer
@@ -232,6 +233,37 @@
     assert isinstance(written.err_value, StoreAnswerLost)
 
 
+@pytest.mark.parametrize('knows_era', [False, True])
+def test_guarded_write_needs_the_content_that_was_read(
+    server: MetadataServer, store: MetadataStore, knows_era: bool
+) -> None:
+    """Guards against a write over content that got the same revision.
+
+    A guard refuses it even if the writer has not heard of the restore.
+    """
+    copy = server.save_copy()
+    one, two = (WriteGuard(replaced='', created=f'a/{it}') for it in '12')
+    assert isinstance(store.put('a', b'lost', 0, one), Ok)
+    revision = store.get('a').unwrap().revision
+    server.restore_copy(copy)
+    other = MetadataStore(
+        address=Address(host='127.0.0.1', port=server.port),
+        clock=SystemClock(),
+    )
+    assert isinstance(other.put('a', b'written since', 0, two), Ok)
+    if knows_era:
+        store.get('b')
+    replacing = WriteGuard(replaced=one.created, created='a/3')
+    written = store.put('a', b'late', revision, replacing)
+    assert isinstance(written, Err)
+    assert isinstance(written.err_value, StoreConflict)
+    current = store.get('a').unwrap()
+    assert current.value == b'written since'
+    replacing = WriteGuard(replaced=two.created, created='a/3')
+    assert isinstance(store.put('a', b'x', current.revision, replacing), Ok)
+    assert server.keys('a') == ['a', 'a/3']
+
+
 def test_watch_goes_on_after_a_restore(
     server: MetadataServer, store: MetadataStore
 ) -> None:
--- a/tests/store/test_store.py
+++ b/tests/store/test_store.py
@@ -18,6 +18,7 @@
     StoreError,
     StoreRefused,
     StoreUnavailable,
+    WriteGuard,
 )
 from anvilthread.store.consul_store import ConsulStore
 from standins.memory_store import MemoryStore
@@ -42,6 +43,40 @@
     assert store.get(_KEY).unwrap().value == b'three'
 
 
+@pytest.mark.parametrize('is_restored', [False, True])
+def test_guarded_write_needs_the_content_that_was_read(
+    store_and_state: tuple[Store, StoreState], is_restored: bool
+) -> None:
+    """Guards against a write over content that got the same revision.
+
+    Pattern: the store comes back from an older copy, and another writer is
+    first after that.
+    """
+    store, state = store_and_state
+    one, two, three = (
+        WriteGuard(replaced='', created=f'{_KEY}/{name}') for name in 'abc'
+    )
+    copy = state.save_copy()
+    assert store.put(_KEY, b'one', 0, one).is_ok()
+    read = store.get(_KEY).unwrap()
+    if is_restored:
+        state.restore_copy(copy)
+        assert store.put(_KEY, b'two', 0, two).is_ok()
+        assert store.get(_KEY).unwrap().revision == read.revision
+    replacing = WriteGuard(replaced=one.created, created=three.created)
+    written = store.put(_KEY, b'three', read.revision, replacing)
+    if is_restored:
+        assert isinstance(written.unwrap_err(), StoreConflict)
+        assert store.get(_KEY).unwrap().value == b'two'
+        return
+    assert written.is_ok()
+    assert store.get(_KEY).unwrap().value == b'three'
+    assert store.get(one.created).unwrap().value is None
+    assert store.get(three.created).unwrap().value == b''
+    again = store.put(_KEY, b'four', read.revision, replacing)
+    assert isinstance(again.unwrap_err(), StoreConflict)
+
+
 @pytest.mark.parametrize(
     ('faults', 'value', 'expected', 'written'),
     [
