List new flows at a draining target after a restart of its agent

Traced in its logs: target i-1 announced its drain at 13.569 s; kill_all ended every process; the new agent reported at 14.992 s that its target accepts, since it had answered the probe, and a flow was placed on it at 15.085 s; the heartbeat of 15.129 s told it otherwise.

Cause: TargetWatch.accepts assumes a running target until the first heartbeat is due, so that service returns early after a loss of power. The platform's rule DRAIN counts machines in touch, which a killed one is not for 4 s.

--- a/tests/flows/test_flows.py
+++ b/tests/flows/test_flows.py
@@ -108,6 +108,34 @@
         assert cluster.holder(flow_key(number)) is not None
 
 
+@pytest.mark.parametrize('restarts_balancers', [False, True])
+def test_draining_target_of_a_restarted_agent_gets_no_opening_packet(
+    restarts_balancers: bool,
+) -> None:
+    """Guards against a target that is in use again after a restart.
+
+    The agent does not know of the draining until the next heartbeat. Pattern:
+    a kill of one or of all processes while a target drains (soak seed 104).
+    """
+    cluster = FlowCluster(balancers=2, agents=2)
+    node = cluster.agents[0]
+    target = node.target
+    assert target is not None
+    target.is_draining = True
+    node.heartbeat()
+    cluster.advance(600)
+    if restarts_balancers:
+        for number in range(2):
+            cluster.add_balancer(number)
+    cluster.add_agent(0, sends_heartbeat=False)
+    cluster.advance(300)
+    before = len(target.opened)
+    for number in range(20):
+        cluster.open(flow_key(number), cluster.balancers[number % 2])
+    cluster.advance(50)
+    assert len(target.opened) == before
+
+
 @pytest.mark.parametrize('same_service', [True, False])
 def test_flows_survive_another_balancer(same_service: bool) -> None:
     """Guards against flows lost when routers select another balancer."""
