--- a/anvilthread/configuration/applier.py
+++ b/anvilthread/configuration/applier.py
@@ -9,18 +9,13 @@
 from anvilthread.clock import Clock
 from anvilthread.configuration.applied import Applied
 from anvilthread.configuration.apply_error import (
-    ApplyConflict,
     ApplyError,
     ApplyRefused,
-    ApplyStoreBehind,
     ApplyUnavailable,
     ApplyUnknown,
 )
+from anvilthread.configuration.apply_progress import ApplyProgress, Outcome
 from anvilthread.configuration.backoff import Backoff
-from anvilthread.configuration.difference import diff_texts
-from anvilthread.configuration.invalid_configuration import (
-    InvalidConfigurationError,
-)
 from anvilthread.configuration.loader import load_configurations
 from anvilthread.configuration.proposal import Proposal
 from anvilthread.configuration.record import Change, ConfigurationRecord
@@ -37,7 +32,6 @@
     StoreConflict,
     StoreError,
     StoreRefused,
-    StoreUnavailable,
 )
 
 #: Key of the record in the store.
@@ -47,30 +41,6 @@
 _INITIAL_RETRY_MS: Final = 100
 _MAX_RETRY_MS: Final = 2000
 
-Outcome = Result[Applied, ApplyError | InvalidConfigurationError]
-
-
-class _Progress:
-    """What the earlier attempts to apply a change have shown.
-
-    Attributes:
-        maybe_written: Whether the answer of a write was lost.
-    """
-
-    __slots__ = ('_base_id', 'maybe_written')
-
-    def __init__(self) -> None:
-        self.maybe_written = False
-        self._base_id = ''
-
-    def is_based_on(self, stored: ConfigurationRecord) -> bool:
-        """Returns whether every attempt has found the same record.
-
-        After a restore of the store, another record may have its revision.
-        """
-        self._base_id = self._base_id or stored.change.change_id
-        return stored.change.change_id == self._base_id
-
 
 class Applier:
     """Applies changes by compare-and-swap on one value.
@@ -124,7 +94,7 @@
             return Err(loaded.err_value)
         deadline_ms = self._clock.now_ms() + self._deadline_ms
         backoff = self._backoff()
-        progress = _Progress()
+        progress = ApplyProgress(proposal=proposal)
         while True:
             attempt = self._attempt(proposal, progress)
             if not isinstance(attempt, StoreError):
@@ -160,20 +130,16 @@
         )
 
     def _attempt(
-        self, proposal: Proposal, progress: '_Progress'
+        self, proposal: Proposal, progress: ApplyProgress
     ) -> Outcome | StoreError:
         found = self._read()
         if isinstance(found, Err):
             return _read_failure(found.err_value)
         snapshot, stored = found.ok_value
         known = max(self._peer_revision(), proposal.expected)
-        resolved = _resolve(
-            proposal, stored, known, maybe_written=progress.maybe_written
-        )
+        resolved = progress.resolve(stored, known)
         if resolved is not None:
             return resolved
-        if stored is not None and not progress.is_based_on(stored):
-            return Err(_conflict(proposal, stored))
         record = self._next_record(proposal, stored, known + 1)
         return self._write(record, snapshot, stored)
 
@@ -241,57 +207,6 @@
         )
 
 
-def _resolve(
-    proposal: Proposal,
-    stored: ConfigurationRecord | None,
-    known: int,
-    *,
-    maybe_written: bool,
-) -> Outcome | StoreError | None:
-    """Returns the outcome if the record in the store determines it.
-
-    Args:
-        proposal: The change.
-        stored: Record in the store, if there is one.
-        known: Highest revision known to nodes or to the operator.
-        maybe_written: Whether the answer of an earlier write was lost.
-    """
-    revision = stored.revision if stored else 0
-    if stored is not None:
-        applied = stored.find(proposal.change_id)
-        if applied is not None:
-            return Ok(
-                Applied(
-                    revision=applied.revision,
-                    is_new=maybe_written,
-                    record=stored,
-                )
-            )
-    if revision < known:
-        return _resolve_behind(
-            proposal, revision, known, maybe_written=maybe_written
-        )
-    if stored is None:
-        return None
-    if stored.texts == proposal.texts:
-        return Ok(Applied(revision=revision, is_new=False, record=stored))
-    if revision == proposal.expected:
-        return None
-    return Err(_conflict(proposal, stored))
-
-
-def _resolve_behind(
-    proposal: Proposal, revision: int, known: int, *, maybe_written: bool
-) -> Outcome | StoreError | None:
-    """Returns the outcome if the store holds less than the nodes."""
-    if proposal.supersede and revision == proposal.expected:
-        return None
-    # The nodes may already have the change whose answer was lost.
-    if maybe_written:
-        return StoreUnavailable(reason='it returned outdated data')
-    return Err(ApplyStoreBehind(stored=revision, known=known))
-
-
 def _read_failure(
     error: StoreError | RecordFormatError,
 ) -> Outcome | StoreError:
@@ -300,15 +215,6 @@
     return error
 
 
-def _conflict(proposal: Proposal, stored: ConfigurationRecord) -> ApplyConflict:
-    return ApplyConflict(
-        expected=proposal.expected,
-        found=stored.revision,
-        operator=stored.change.operator,
-        difference=diff_texts(stored.texts, proposal.texts, 'yours'),
-    )
-
-
 def _deadline_error(
     proposal: Proposal, error: StoreError, *, maybe_written: bool
 ) -> ApplyError:
--- a/standins/configuration_fleet.py
+++ b/standins/configuration_fleet.py
@@ -13,7 +13,7 @@
     ConfigurationTexts,
     Proposal,
 )
-from anvilthread.configuration.applier import Outcome
+from anvilthread.configuration.apply_progress import Outcome
 from standins.memory_network import MemoryNetwork
 from standins.memory_store import MemoryStore
 from standins.store_state import StoreLimits, StoreState
