--- a/anvilthread/configuration/holder.py
+++ b/anvilthread/configuration/holder.py
@@ -20,6 +20,11 @@
 #: behind gets the whole record.
 _MAX_CACHED_DELTAS: Final = 16
 
+_OLDER_REMEDY: Final = (
+    'none needed; nodes that reach the store write the newer record back'
+)
+_DIFFERS_REMEDY: Final = 'apply the intended files again'
+
 #: Called with the record and the configuration of this node's site.
 Listener = Callable[[ConfigurationRecord, Configuration], None]
 
@@ -148,11 +153,10 @@
             return
         self._last_ignored = ignored
         logging.warning(
-            'event=%s revision=%d in_force=%d source=%s '
-            'remedy="if the store was restored from a backup, restore the '
-            'record of a node to it"',
+            'event=%s revision=%d in_force=%d source=%s remedy="%s"',
             'configuration_differs' if is_same else 'configuration_older',
             record.revision,
             self.revision,
             source,
+            _DIFFERS_REMEDY if is_same else _OLDER_REMEDY,
         )
