--- a/review/3/case.py
+++ b/review/3/case.py
@@ -24,7 +24,7 @@
 
 def main():
     record = Record(HERE / 'record.txt')
-    cluster = Deployment(seed=1, record=record, balancers=2, agents=3)
+    cluster = Deployment(seed=1, record=record, balancers=2, agents=7)
     try:
         broken = run(cluster, record)
     finally:
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -25,12 +25,12 @@
 STEP_S = 6.0
 #: Time for which the crashed target is down.
 OUTAGE_S = 1.0
-PROBE_S = 0.1
+PROBE_S = 0.03
 
 
 def main():
     record = Record(HERE / 'record.txt')
-    cluster = Deployment(seed=1, record=record, balancers=2, agents=2)
+    cluster = Deployment(seed=1, record=record, balancers=2, agents=7)
     try:
         broken = run(cluster, record)
     finally:
