Decode priorities and service limits, and split opening and searching

Callers see no change: nothing reads the new fields yet. Routes now carry their priority, latency objective and timeout, services their warm-up and flow limits, settings the bounds of evacuations and warm-ups.

--- a/anvilthread/flow_node/flow_node_settings.py
+++ b/anvilthread/flow_node/flow_node_settings.py
@@ -24,6 +24,11 @@
             its target; None for a balancer.
         heartbeat_ms: Time between heartbeats of a target.
         stop_ms: Time from SIGTERM after which the process is killed.
+        evacuation_ms: Time within which an evacuated site gets no new flow;
+            None if sites are not evacuated.
+        warmup_overage: Factor on the rate that a cold target bears.
+        warmup_slack: Requests that a cold target bears above that, in any
+            second.
     """
 
     name: str
@@ -39,3 +44,6 @@
     outbound_address: tuple[str, int] | None = None
     heartbeat_ms: int
     stop_ms: int
+    evacuation_ms: int | None = None
+    warmup_overage: float = 1
+    warmup_slack: float = 0
--- a/anvilthread/flows/flow_agent.py
+++ b/anvilthread/flows/flow_agent.py
@@ -1,7 +1,5 @@
 """The agent of flows that are identified by an address pair."""
 
-from collections.abc import Iterable
-
 from anvilthread.clock import Clock
 from anvilthread.flows.agent_condition import AgentCondition
 from anvilthread.flows.agent_flow import AgentFlow
@@ -18,13 +16,8 @@
 from anvilthread.flows.packet_messages import Forward, Place, Refused
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
-from anvilthread.flows.search_messages import (
-    Ask,
-    Held,
-    Locate,
-    Located,
-    NotHeld,
-)
+from anvilthread.flows.search_answers import SearchAnswers
+from anvilthread.flows.search_messages import Ask, Locate, NotHeld
 from anvilthread.flows.target_offers import TargetOffers
 from anvilthread.flows.target_watch import TargetWatch
 from anvilthread.telemetry.log import Log
@@ -33,11 +26,6 @@
 class FlowAgent:
     """Delivers packets to the target, and tracks the flows that it holds.
 
-    The table of flows is complete only once every flow of the target has
-    sent a packet through this process. Until then, the agent offers a packet
-    of an unknown flow to the target, which returns packets of flows that it
-    does not hold.
-
     Args:
         clock: Source of time.
         network: Sends messages and packets.
@@ -61,8 +49,8 @@
         '_network',
         '_offers',
         '_routes',
+        '_search_answers',
         '_service',
-        '_started_ms',
         '_target',
     )
 
@@ -114,7 +102,18 @@
             log=log,
         )
         self._latencies = LatencyBuckets()
-        self._started_ms = clock.now_ms()
+        self._search_answers = SearchAnswers(
+            clock=clock,
+            network=network,
+            codec=codec,
+            routes=routes,
+            service=self._service,
+            flows=self._flows,
+            target=target,
+            offers=self._offers,
+            deliver=self._deliver,
+            counters=counters,
+        )
 
     @property
     def flows(self) -> AgentFlowTable:
@@ -137,17 +136,14 @@
         return {
             Forward: self.on_forward,
             Place: self.on_place,
-            Ask: self.on_ask,
-            Locate: self.on_locate,
+            Ask: self._search_answers.on_ask,
+            Locate: self._search_answers.on_locate,
         }
 
     @property
     def is_complete(self) -> bool:
         """Whether every flow of the target is in the table."""
-        if self._target.saw_target_start or self._target.is_absent:
-            return True
-        uptime_ms = self._clock.now_ms() - self._started_ms
-        return uptime_ms > self._routes.table.idle_ms
+        return self._search_answers.is_complete
 
     def tick(self) -> None:
         """Checks the timeouts of offers and opening packets."""
@@ -188,28 +184,6 @@
         else:
             self._network.send_to_node(host, NotHeld(key=packet.key))
 
-    def on_ask(self, host: str, message: Ask) -> None:
-        """Answers whether the local target holds a flow, and delivers to it."""
-        packet = self._codec.from_client(message.packet)
-        if packet is None:
-            self._counters.add('packets_malformed')
-            return
-        flow = self._flows.get(packet.key)
-        if flow is not None and flow.is_open:
-            flow.balancer = host
-            self._send_held(host, packet.key)
-            self._deliver(packet, flow)
-        elif self._denies(flow):
-            self._network.send_to_node(host, NotHeld(key=packet.key))
-        elif message.may_offer:
-            self._offers.offer(packet, host)
-        else:
-            self._answer(host, (packet.key,))
-
-    def on_locate(self, host: str, message: Locate) -> None:
-        """Answers which of several flows the local target holds."""
-        self._answer(host, message.keys)
-
     def on_target_packet(self, packet: FlowPacket) -> None:
         """Handles a packet that the target has sent."""
         self._target.on_packet(is_bounced=packet.is_bounced)
@@ -225,7 +199,7 @@
         if not flow.is_open:
             flow.is_open = True
             if flow.balancer:
-                self._send_held(flow.balancer, packet.key)
+                self._search_answers.send_held(flow.balancer, packet.key)
         if packet.is_reset and flow.requested_ms is not None:
             self._condition.health.record_failure('flow_reset_by_target')
         working = self._flows.meter.working
@@ -300,28 +274,6 @@
         self._network.send_to_node(host, refused)
         self._event('flow_refused', packet.key, reason=reason, balancer=host)
 
-    def _answer(self, host: str, keys: Iterable[bytes]) -> None:
-        held: list[bytes] = []
-        denied: list[bytes] = []
-        unknown: list[bytes] = []
-        for key in keys:
-            flow = self._flows.get(FlowKey(key))
-            if flow is not None and flow.is_open:
-                held.append(key)
-            else:
-                (denied if self._denies(flow) else unknown).append(key)
-        located = Located(
-            service=self._service,
-            held=tuple(held),
-            denied=tuple(denied),
-            unknown=tuple(unknown),
-        )
-        self._network.send_to_node(host, located)
-
-    def _denies(self, flow: AgentFlow | None) -> bool:
-        """Whether the target surely does not hold a flow that is not open."""
-        return self.is_complete and not (flow and flow.is_assumed)
-
     def _deliver(self, packet: FlowPacket, flow: AgentFlow) -> None:
         if self._flows.record_client_packet(packet, flow):
             flow.request_id = self._codec.request_id(packet.content)
@@ -377,9 +329,6 @@
             not_held = NotHeld(key=original.key, packet=content)
             self._network.send_to_node(balancer, not_held)
 
-    def _send_held(self, host: str, key: FlowKey) -> None:
-        self._network.send_to_node(host, Held(key=key, service=self._service))
-
     def _event(self, name: str, key: FlowKey, **fields: object) -> None:
         self._counters.add(name)
         self._log.event(name, flow=flow_name(key), **fields)
--- a/anvilthread/flows/flow_balancer.py
+++ b/anvilthread/flows/flow_balancer.py
@@ -1,6 +1,5 @@
 """The balancer of flows that are identified by an address pair."""
 
-from collections import deque
 from typing import Final
 
 from anvilthread.clock import Clock
@@ -10,29 +9,20 @@
 from anvilthread.flows.flow_counters import FlowCounters
 from anvilthread.flows.flow_key import FlowKey, flow_name
 from anvilthread.flows.flow_network import FlowNetwork
+from anvilthread.flows.flow_opener import FlowOpener
 from anvilthread.flows.flow_packet import FlowPacket
 from anvilthread.flows.flow_packet_codec import FlowPacketCodec
 from anvilthread.flows.flow_placement import FlowPlacement
+from anvilthread.flows.flow_resets import FlowResets
 from anvilthread.flows.holder_search import HolderSearch
 from anvilthread.flows.known_node import KnownNode
 from anvilthread.flows.latency_buckets import LatencyBuckets
 from anvilthread.flows.messages import MessageHandlers
-from anvilthread.flows.packet_messages import Forward, Place, Refused
+from anvilthread.flows.packet_messages import Forward, Refused
 from anvilthread.flows.route_holder import RouteHolder
 from anvilthread.flows.search_messages import Held, Located, NotHeld
 from anvilthread.telemetry.log import Log
 
-#: Time after which an agent that has not confirmed a new flow counts as down.
-#: A confirmation takes two hops and the answer of the target, a few ms. Short
-#: against the 200 ms after which clients retransmit the opening packet.
-_CONFIRM_TIMEOUT_MS: Final = 80
-
-#: Agents asked to accept a flow before it is reset at its client.
-_MAX_ATTEMPTS: Final = 4
-
-#: Time after which a client gives up an unanswered opening packet.
-_OPENING_TIMEOUT_MS: Final = 1400
-
 #: Maximum age of the last check of the configuration at which a packet without
 #: a route is reset rather than dropped. Less than the 3 s within which a change
 #: is guaranteed to be in force.
@@ -69,8 +59,8 @@
         '_latencies',
         '_log',
         '_network',
-        '_pending_openings',
-        '_placement',
+        '_opener',
+        '_resets',
         '_routes',
         '_search',
     )
@@ -91,13 +81,30 @@
         self._network = network
         self._codec = codec
         self._routes = routes
-        self._placement = placement
         self._fleet = fleet
         self._log = log
         self._counters = counters
         self._latencies = LatencyBuckets()
         self._flows = BalancerFlowTable(clock=clock, routes=routes)
-        self._pending_openings: deque[tuple[int, FlowKey]] = deque()
+        self._resets = FlowResets(
+            network=network,
+            codec=codec,
+            routes=routes,
+            log=log,
+            counters=counters,
+        )
+        self._opener = FlowOpener(
+            clock=clock,
+            network=network,
+            codec=codec,
+            routes=routes,
+            placement=placement,
+            fleet=fleet,
+            flows=self._flows,
+            resets=self._resets,
+            log=log,
+            counters=counters,
+        )
         self._search = HolderSearch(
             clock=clock,
             network=network,
@@ -113,7 +120,7 @@
         return {
             Held: self.on_held,
             NotHeld: self.on_not_held,
-            Refused: self.on_refused,
+            Refused: self._opener.on_refused,
             Located: self.on_located,
         }
 
@@ -189,19 +196,6 @@
         self._search.on_denied(host, message.denied)
         self._search.on_unknown(host, message.unknown)
 
-    def on_refused(self, host: str, message: Refused) -> None:
-        """Places a flow on another agent after one has refused it."""
-        packet = self._codec.from_client(message.packet)
-        if packet is None:
-            return
-        flow = self._flows.get(packet.key)
-        if flow is None or flow.is_confirmed or flow.agent != host:
-            return
-        self._event(
-            'flow_refused', packet.key, agent=host, reason=message.reason
-        )
-        self._place_again(packet, flow, message.reason)
-
     def on_node_started(self, node: KnownNode) -> None:
         """Sends an agent that has restarted the last packets of its flows.
 
@@ -220,113 +214,26 @@
 
     def tick(self) -> None:
         """Continues placements and searches, and removes expired flows."""
-        now_ms = self._clock.now_ms()
         self._fleet.tick()
         self._search.tick()
-        due: list[FlowKey] = []
-        while self._pending_openings and self._pending_openings[0][0] <= now_ms:
-            due.append(self._pending_openings.popleft()[1])
-        for key in due:
-            self._check_confirmation(key, now_ms)
+        self._opener.tick()
         self._flows.sweep()
 
     def _open(self, packet: FlowPacket, flow: BalancerFlow | None) -> None:
-        now_ms = self._clock.now_ms()
-        if flow is not None and now_ms - flow.placed_ms <= _OPENING_TIMEOUT_MS:
-            if flow.is_confirmed:
-                self._send_place(packet.content, flow)
+        if flow is not None and self._opener.is_opening(flow):
+            self._opener.repeat(packet, flow)
             return
         route = self._routes.table.route_of(packet.key)
         if route is None:
             self._reject_unrouted(packet)
             return
         self._search.cancel(packet.key)
-        service = route.choose(packet.key)
-        flow = self._flows.add(packet.key, '', service)
-        flow.opening_packet = packet.content
-        if self._place(flow):
-            return
-        self._reject(
-            packet, flow, 'no_agent', retries_later=not self._fleet.is_settled
-        )
-
-    def _place_again(
-        self, packet: FlowPacket, flow: BalancerFlow, reason: str
-    ) -> None:
-        flow.tried.add(flow.agent)
-        flow.opening_packet = packet.content
-        has_attempts_left = len(flow.tried) < _MAX_ATTEMPTS
-        if has_attempts_left and self._place(flow):
-            return
-        retries_later = has_attempts_left and self._fleet.is_starting
-        self._reject(packet, flow, reason, retries_later=retries_later)
-
-    def _reject(
-        self,
-        packet: FlowPacket,
-        flow: BalancerFlow,
-        reason: str,
-        *,
-        retries_later: bool,
-    ) -> None:
-        """Resets a flow for which there is no agent, or retries later."""
-        if retries_later:
-            # This process has just started: some agents are still unknown.
-            flow.agent = ''
-            self._pending_openings.append((self._clock.now_ms(), flow.key))
-        else:
-            self._flows.remove(flow.key)
-            self._reset(flow.key, packet.acknowledged, reason)
-
-    def _place(self, flow: BalancerFlow) -> bool:
-        now_ms = self._clock.now_ms()
-        chosen = self._placement.choose(flow.service, flow.key, flow.tried)
-        if chosen is None:
-            return False
-        flow.agent = chosen.host
-        self._pending_openings.append((now_ms + _CONFIRM_TIMEOUT_MS, flow.key))
-        self._send_place(flow.opening_packet, flow)
-        self._event(
-            'flow_placed',
-            flow.key,
-            service=flow.service,
-            agent=chosen.host,
-            load=round(chosen.load, 2),
-            report_age_ms=chosen.age_ms(now_ms),
-            version=self._routes.table.version,
-            tried=len(flow.tried),
-        )
-        return True
-
-    def _check_confirmation(self, key: FlowKey, now_ms: int) -> None:
-        flow = self._flows.get(key)
-        if flow is None or flow.is_confirmed or not flow.opening_packet:
-            return
-        if now_ms - flow.placed_ms > _OPENING_TIMEOUT_MS:
-            self._flows.remove(key)
-            return
-        if not flow.agent:
-            if not self._place(flow):
-                self._pending_openings.append((now_ms, key))
-            return
-        self._event('flow_unconfirmed', key, agent=flow.agent)
-        flow.tried.add(flow.agent)
-        if len(flow.tried) >= _MAX_ATTEMPTS or not self._place(flow):
-            # The next retransmission by the client starts a new placement.
-            self._flows.remove(key)
-
-    def _send_place(self, opening_packet: bytes, flow: BalancerFlow) -> None:
-        message = Place(
-            packet=opening_packet,
-            service=flow.service,
-            version=self._routes.table.version,
-        )
-        self._network.send_to_node(flow.agent, message)
+        self._opener.open(packet, route.choose(packet.key))
 
     def _forward(self, packet: FlowPacket, flow: BalancerFlow) -> None:
         if self._routes.table.route_of(packet.key) is None:
             self._flows.remove(packet.key)
-            self._reset(packet.key, packet.acknowledged, 'route_removed')
+            self._resets.send(packet.key, packet.acknowledged, 'route_removed')
             return
         if self._fleet.is_gone(flow.agent):
             # If the agent returns, the search finds it.
@@ -355,29 +262,16 @@
         self, key: FlowKey, acknowledged: int, fields: dict[str, object]
     ) -> None:
         """Resets a flow that no target holds."""
-        self._reset(key, acknowledged, 'no_holder', **fields)
+        self._resets.send(key, acknowledged, 'no_holder', **fields)
 
     def _reject_unrouted(self, packet: FlowPacket) -> None:
         routes = self._routes
         is_fresh = 0 <= routes.check_age_ms <= _FRESH_CHECK_MS
         if is_fresh or (routes.is_loaded and packet.opens):
-            self._reset(packet.key, packet.acknowledged, 'no_route')
+            self._resets.send(packet.key, packet.acknowledged, 'no_route')
         else:
             self._counters.add('packets_unrouted')
 
-    def _reset(
-        self, key: FlowKey, acknowledged: int, reason: str, **fields: object
-    ) -> None:
-        content = self._codec.reset(key, acknowledged)
-        self._network.send_to_client(key, content)
-        self._event(
-            'flow_reset',
-            key,
-            reason=reason,
-            version=self._routes.table.version,
-            **fields,
-        )
-
     def _event(self, name: str, key: FlowKey, **fields: object) -> None:
         self._counters.add(name)
         self._log.event(name, flow=flow_name(key), **fields)
--- a/anvilthread/flows/messages.py
+++ b/anvilthread/flows/messages.py
@@ -4,7 +4,13 @@
 from typing import Any, TypeAlias
 
 from anvilthread.flows.node_messages import Hello, Leaving, LoadReport, Peers
-from anvilthread.flows.packet_messages import Forward, Place, Refused
+from anvilthread.flows.packet_messages import (
+    Forward,
+    Place,
+    Queued,
+    Refused,
+    Withdraw,
+)
 from anvilthread.flows.search_messages import (
     Ask,
     Held,
@@ -17,6 +23,8 @@
     Forward
     | Place
     | Refused
+    | Queued
+    | Withdraw
     | Ask
     | Held
     | Locate
--- a/anvilthread/flows/node_messages.py
+++ b/anvilthread/flows/node_messages.py
@@ -24,6 +24,12 @@
         uptime_ms: Time since the start of the agent's process.
         has_new_target: Whether the target has started together with the agent
             or later, so that it holds no earlier flow.
+        run_ms: Time that the target takes for a request; 0 if unknown.
+        wait_ms: Time that a new flow of the lowest priority waits for the
+            target; 0 if it is served at once.
+        waiting: Opening packets that wait at the agent.
+        limit: Requests that the agent lets into its target at a time; 0 if it
+            does not limit them.
     """
 
     node: NodeRecord
@@ -40,6 +46,10 @@
     is_failing: bool = False
     uptime_ms: int = 1 << 40
     has_new_target: bool = False
+    run_ms: float = 0
+    wait_ms: int = 0
+    waiting: int = 0
+    limit: int = 0
 
 
 class Hello(Message, frozen=True, tag=10):
--- a/anvilthread/flows/route_table.py
+++ b/anvilthread/flows/route_table.py
@@ -1,11 +1,16 @@
 """The routes from service addresses to services."""
 
 import zlib
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
+from typing import Final
 
 import msgspec
 
 from anvilthread.flows.flow_key import Endpoint, FlowKey, endpoint_of
+from anvilthread.flows.service_limits import ServiceLimits
+from anvilthread.flows.traffic_class import TrafficClass
+
+_DEFAULT_LIMITS: Final = ServiceLimits()
 
 
 class ServiceShare(msgspec.Struct, frozen=True, kw_only=True):
@@ -26,10 +31,12 @@
     Attributes:
         name: Name of the route, for logs.
         shares: Services for new flows; at least one.
+        traffic: What the route requires of its requests.
     """
 
     name: str
     shares: tuple[ServiceShare, ...]
+    traffic: TrafficClass = TrafficClass()
 
     def serves(self, service: str) -> bool:
         """Whether a service receives new flows of this route."""
@@ -63,9 +70,17 @@
         routes: Route of each address.
         idle_ms: Time after which an idle flow may be removed.
         document: The configuration as stored, for peers.
+        services: Limits of each service that states any.
     """
 
-    __slots__ = ('_document', '_idle_ms', '_routes', '_version')
+    __slots__ = (
+        '_document',
+        '_idle_ms',
+        '_prioritised',
+        '_routes',
+        '_services',
+        '_version',
+    )
 
     def __init__(
         self,
@@ -74,11 +89,14 @@
         routes: Mapping[Endpoint, Route],
         idle_ms: int,
         document: bytes,
+        services: Mapping[str, ServiceLimits] | None = None,
     ) -> None:
         self._version = version
         self._routes = dict(routes)
         self._idle_ms = idle_ms
         self._document = document
+        self._services = dict(services or {})
+        self._prioritised = _prioritised_services(self._routes.values())
 
     @property
     def version(self) -> int:
@@ -98,6 +116,31 @@
     def __len__(self) -> int:
         return len(self._routes)
 
+    def limits_of(self, service: str) -> ServiceLimits:
+        """Returns the limits of a service; defaults if it states none."""
+        return self._services.get(service, _DEFAULT_LIMITS)
+
+    def orders_by_priority(self, service: str) -> bool:
+        """Whether the routes of a service differ in priority."""
+        return service in self._prioritised
+
     def route_of(self, key: FlowKey) -> Route | None:
         """Returns the route of a flow; None if its address has no route."""
         return self._routes.get(endpoint_of(key))
+
+
+def _prioritised_services(routes: Iterable[Route]) -> frozenset[str]:
+    """Returns the services whose routes with an objective differ in priority.
+
+    Routes without an objective carry no traffic that competes for time.
+    """
+    priorities: dict[str, set[int]] = {}
+    for route in routes:
+        if not route.traffic.objective_ms:
+            continue
+        for share in route.shares:
+            known = priorities.setdefault(share.service, set())
+            known.add(route.traffic.priority)
+    return frozenset(
+        service for service, known in priorities.items() if len(known) > 1
+    )
