--- a/anvilthread/flows/known_node.py
+++ b/anvilthread/flows/known_node.py
@@ -47,6 +47,7 @@
     """
 
     __slots__ = (
+        '_corrected_wait_ms',
         '_host_hash',
         '_is_leaving',
         '_last_seen_ms',
@@ -68,6 +69,8 @@
         self._report: LoadReport | None = None
         self._reported_ms = 0
         self._sends = 0
+        #: Expected wait told since the last report; None if none was.
+        self._corrected_wait_ms: int | None = None
 
     @property
     def record(self) -> NodeRecord:
@@ -196,6 +199,15 @@
         self._report = report
         self._reported_ms = now_ms
         self._sends = 0
+        self._corrected_wait_ms = None
+
+    def correct_wait(self, wait_ms: int) -> None:
+        """Replaces the expected wait of the last report.
+
+        Args:
+            wait_ms: Expected wait for a new flow, from a refusal of the peer.
+        """
+        self._corrected_wait_ms = wait_ms
 
     def count_send(self) -> None:
         """Counts a flow placed on the peer since its last report."""
