--- a/tests/soak/mutant.py
+++ b/tests/soak/mutant.py
@@ -13,6 +13,7 @@
 
 from anvilthread.flows.flow_agent import FlowAgent
 from anvilthread.flows.flow_balancer import FlowBalancer
+from anvilthread.flows.flow_opener import FlowOpener
 from anvilthread.flows.holder_search import HolderSearch
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
@@ -58,7 +59,8 @@
     """Resets a flow that its balancer does not know, instead of searching."""
 
     def search_holder(self, packet, denied_by=''):
-        self._reset(packet.key, packet.acknowledged, 'mutant')  # noqa: SLF001
+        resets = self._resets  # noqa: SLF001
+        resets.send(packet.key, packet.acknowledged, 'mutant')
 
     FlowBalancer._search_holder = search_holder  # noqa: SLF001
 
@@ -78,7 +80,7 @@
 def serve_nobody() -> None:
     """Neither places a flow nor searches for its holder."""
     HolderSearch.start = lambda *_args, **_named: None
-    FlowBalancer._place = lambda self, flow: False  # noqa: SLF001
+    FlowOpener._place = lambda self, flow: False  # noqa: SLF001
 
 
 MUTANTS = {
