Keep the flows of a silent target until it has provably ended

Callers saw open flows reset (flow_reset target_silent) when a target paused for a little more than 100 ms: two unanswered opening packets counted as proof that it had ended.

Unanswered opening packets now eject the target only. The agent probes its port, at once and then every 200 ms to 2 s; a refused connection, or 2.5 heartbeat intervals without heartbeat and packet, proves its end.

--- a/anvilthread/flow_node/agent_process.py
+++ b/anvilthread/flow_node/agent_process.py
@@ -166,8 +166,23 @@
         if listens is not None:
             self._target.on_probe(is_listening=listens)
 
+    def _probe_silent_target(self) -> None:
+        """Finds out whether a target that does not answer has ended."""
+        endpoint = self.process.settings.target_address
+        silence = self._agent.condition.silence
+        listens: bool | None = None
+        silence.start_probe()
+        try:
+            if endpoint is not None:
+                listens = is_listening(endpoint)
+        finally:
+            silence.finish_probe(is_listening=listens)
+
     def _tick(self) -> None:
         self._agent.tick()
+        if self._agent.condition.needs_probe:
+            # A probe takes up to 0.2 s, so packets go on beside it.
+            self.process.tasks.run(self._probe_silent_target)
         is_failing = self._agent.condition.health.is_failing
         if is_failing != self._was_failing:
             self._was_failing = is_failing
--- a/anvilthread/flows/agent_condition.py
+++ b/anvilthread/flows/agent_condition.py
@@ -10,6 +10,7 @@
 from anvilthread.flows.node_messages import LoadReport
 from anvilthread.flows.node_record import NodeRecord
 from anvilthread.flows.route_holder import RouteHolder
+from anvilthread.flows.silence_check import SilenceCheck
 from anvilthread.flows.target_health import TargetHealth
 from anvilthread.flows.target_watch import TargetWatch
 from anvilthread.telemetry.log import Log
@@ -19,7 +20,7 @@
 #: few ms, however busy it is.
 _OPENING_TIMEOUT_MS: Final = 100
 
-#: Unanswered opening packets after which a target counts as dead; a single
+#: Unanswered opening packets after which a target counts as silent; a single
 #: one could have been lost.
 _MIN_UNANSWERED_OPENINGS: Final = 2
 
@@ -46,6 +47,7 @@
         '_pending_openings',
         '_routes',
         '_sequence',
+        '_silence',
         '_started_ms',
         '_target',
         '_unanswered_openings',
@@ -67,6 +69,7 @@
         self._flows = flows
         self._target = target
         self._health = TargetHealth(clock=clock, log=log)
+        self._silence = SilenceCheck(clock=clock, target=target, log=log)
         self._pending_openings: deque[tuple[int, int, FlowKey]] = deque()
         self._started_ms = clock.now_ms()
         self._active_time = ActiveTime(clock=clock)
@@ -84,6 +87,22 @@
         """Outlier detection by the outcomes of the target's requests."""
         return self._health
 
+    @property
+    def silence(self) -> SilenceCheck:
+        """Search for proof that a silent target has ended."""
+        return self._silence
+
+    @property
+    def needs_probe(self) -> bool:
+        """Whether the port of the target is to be probed now.
+
+        Only flows that the target has shown or was assumed to hold depend on
+        the result.
+        """
+        return self._silence.is_probe_due and any(
+            flow.is_open or flow.is_assumed for _, flow in self._flows.items()
+        )
+
     @property
     def refusal(self) -> str:
         """Why every new flow is refused; empty if new flows are accepted."""
@@ -133,8 +152,8 @@
         """Checks for opening packets that the target has not answered.
 
         Returns:
-            Whether enough are unanswered for the target to count as dead and
-            its flows as lost.
+            Whether the target has been proved to have ended, so that its flows
+            are lost. Unanswered packets alone only eject it.
         """
         self._active_time.tick()
         due_ms = self._active_time.elapsed_ms - _OPENING_TIMEOUT_MS
@@ -148,11 +167,11 @@
             for placed_ms in self._unanswered_openings
             if not self._target.is_seen_since(placed_ms)
         ]
-        if len(self._unanswered_openings) < _MIN_UNANSWERED_OPENINGS:
-            return False
-        self._unanswered_openings.clear()
-        self._health.record_silence()
-        return True
+        if len(self._unanswered_openings) >= _MIN_UNANSWERED_OPENINGS:
+            self._silence.begin(min(self._unanswered_openings))
+            self._unanswered_openings.clear()
+            self._health.record_silence()
+        return self._silence.tick()
 
     def sweep(self) -> None:
         """Removes expired flows, and times out unanswered requests."""
--- a/anvilthread/flows/target_watch.py
+++ b/anvilthread/flows/target_watch.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from anvilthread.clock import Clock
+from anvilthread.flows.active_time import ActiveTime
 from anvilthread.flows.heartbeat import Heartbeat, HeartbeatEffect
 from anvilthread.flows.target_incarnations import TargetIncarnations
 from anvilthread.telemetry.log import Log
@@ -22,12 +23,14 @@
     """
 
     __slots__ = (
+        '_active_time',
         '_clock',
         '_cold_until_ms',
         '_incarnations',
         '_is_absent',
         '_last_seen_ms',
         '_log',
+        '_seen_at_ms',
         '_silence_timeout_ms',
         '_started_ms',
     )
@@ -39,7 +42,10 @@
         self._incarnations = TargetIncarnations(
             clock=clock, interval_ms=interval_ms, log=log
         )
+        self._active_time = ActiveTime(clock=clock)
         self._last_seen_ms = 0
+        #: Active time of the last heartbeat or packet.
+        self._seen_at_ms = 0
         self._cold_until_ms = 0
         self._started_ms = clock.now_ms()
         self._is_absent = False
@@ -95,6 +101,16 @@
         since_ms = max(self._last_seen_ms, self._started_ms)
         return self._clock.now_ms() - since_ms > self._silence_timeout_ms
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether heartbeats and packets have both been missing for too long.
+
+        Unlike :attr:`is_overdue`, this excludes pauses of this process, after
+        which it has yet to read what has arrived.
+        """
+        silence_ms = self._active_time.elapsed_ms - self._seen_at_ms
+        return silence_ms > self._silence_timeout_ms
+
     def is_seen_since(self, since_ms: int) -> bool:
         """Whether a heartbeat or packet has arrived at a time or later."""
         return self._last_seen_ms >= since_ms
@@ -120,6 +136,7 @@
 
     def tick(self) -> None:
         """Counts the time without heartbeats; called every 20 ms."""
+        self._active_time.tick()
         self._incarnations.tick()
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatEffect:
@@ -135,9 +152,8 @@
         effect = self._incarnations.on_heartbeat(heartbeat)
         if not effect.is_accepted:
             return effect
-        now_ms = self._clock.now_ms()
         self._is_absent = False
-        self._last_seen_ms = now_ms
+        now_ms = self._record_sign()
         self._cold_until_ms = now_ms + heartbeat.cold_ms
         if self.is_draining and not was_draining:
             self._log.event(
@@ -150,7 +166,7 @@
     def on_probe(self, *, is_listening: bool) -> None:
         """Handles a probe that shows whether a target runs on this VM."""
         if is_listening:
-            self._last_seen_ms = self._clock.now_ms()
+            self._record_sign()
         elif not self.was_seen:
             self._is_absent = True
         self._log.event('target_probed', is_listening=is_listening)
@@ -164,7 +180,7 @@
         """
         if not is_bounced:
             self._is_absent = False
-        self._last_seen_ms = self._clock.now_ms()
+        self._record_sign()
 
     def on_departure(self, target: str) -> bool:
         """Records that a target has stopped.
@@ -182,3 +198,9 @@
         )
         self._log.event('target_departed', target=target)
         return True
+
+    def _record_sign(self) -> int:
+        """Records a sign of life of the target, and returns its time."""
+        self._seen_at_ms = self._active_time.elapsed_ms
+        self._last_seen_ms = self._clock.now_ms()
+        return self._last_seen_ms
--- a/standins/flow_cluster.py
+++ b/standins/flow_cluster.py
@@ -116,6 +116,8 @@
         self.balancer: FlowBalancer | None = None
         self.agent: FlowAgent | None = None
         self.target: FlowTarget | None = None
+        #: Times at which the port of the target was probed.
+        self.probes_ms: list[int] = []
         self.watch = TargetWatch(
             clock=cluster.clock, interval_ms=HEARTBEAT_MS, log=self.log
         )
@@ -182,6 +184,7 @@
             self.balancer.tick()
         if self.agent is not None:
             self.agent.tick()
+            self._probe_silent_target(self.agent)
         if self._now() % HELLO_INTERVAL_MS == 0:
             self.introducer.tick()
             self._send_reports()
@@ -210,6 +213,18 @@
         self.roster.subscribe(self.balancer.on_node_started)
         self._handlers = self.balancer.handlers
 
+    def _probe_silent_target(self, agent: FlowAgent) -> None:
+        target = self.target
+        if target is None or not agent.condition.needs_probe:
+            return
+        silence = agent.condition.silence
+        silence.start_probe()
+        self.probes_ms.append(self._now())
+        is_listening = target.is_listening
+        self._cluster.schedule(
+            HOP_MS, lambda: silence.finish_probe(is_listening=is_listening)
+        )
+
     def _send_reports(self) -> None:
         if self.agent is not None:
             report = self.agent.condition.report(HELLO_INTERVAL_MS)
--- a/standins/flow_target.py
+++ b/standins/flow_target.py
@@ -29,7 +29,10 @@
         self.service = service
         self.born_ms = born_ms
         self.max_flows = max_flows
+        #: Whether it runs; one that is paused keeps its flows and its port.
         self.is_up = True
+        #: Whether connections to its port are accepted.
+        self.is_listening = True
         self.is_draining = False
         #: Whether packets of unknown flows are reset instead of bounced.
         self.resets_foreign = False
@@ -50,8 +53,9 @@
         self.bounced: list[bytes] = []
 
     def crash(self) -> None:
-        """Loses every flow and stops answering."""
+        """Loses every flow, stops answering and closes its port."""
         self.is_up = False
+        self.is_listening = False
         self.flows.clear()
 
     def restart(self, *, born_ms: int) -> None:
@@ -63,6 +67,7 @@
         self.crash()
         self._received.clear()
         self.is_up = True
+        self.is_listening = True
         self.is_draining = False
         self.born_ms = born_ms
         self.sequence = 0
