Place flows elsewhere while a restarted agent cannot know of a drain

Callers saw new flows at a draining target whose agent had been restarted: until the next heartbeat (1.2 s on the platform) the agent took the target for accepting.

Until its first heartbeat, an agent now reports its target as ejected, as it does for an outlier. Balancers place new flows elsewhere unless more than half of a service's agents would be left out, so a kill of all processes costs no service.

--- a/anvilthread/flow_node/agent_process.py
+++ b/anvilthread/flow_node/agent_process.py
@@ -48,7 +48,7 @@
         '_agent',
         '_codec',
         '_target',
-        '_was_failing',
+        '_was_ejected',
         'process',
     )
 
@@ -76,7 +76,7 @@
             log=process.log,
             counters=process.counters,
         )
-        self._was_failing = False
+        self._was_ejected = False
 
     def _report_to_new_balancer(self, node: KnownNode) -> None:
         """Sends a balancer that has just started the target's state at once."""
@@ -183,9 +183,9 @@
         if self._agent.condition.needs_probe:
             # A probe takes up to 0.2 s, so packets go on beside it.
             self.process.tasks.run(self._probe_silent_target)
-        is_failing = self._agent.condition.health.is_failing
-        if is_failing != self._was_failing:
-            self._was_failing = is_failing
+        is_ejected = self._agent.condition.is_ejected
+        if is_ejected != self._was_ejected:
+            self._was_ejected = is_ejected
             self._report_to_all_balancers()
 
     def _report_to_balancers(self) -> None:
--- a/anvilthread/flows/agent_condition.py
+++ b/anvilthread/flows/agent_condition.py
@@ -82,6 +82,16 @@
         """Whether new flows may be placed on this agent."""
         return self._target.accepts and not self._is_stopping
 
+    @property
+    def is_ejected(self) -> bool:
+        """Whether new flows are to be placed elsewhere, if there is room.
+
+        Before its first heartbeat, the target may be draining without this
+        process knowing. Balancers decide how many agents they can do without:
+        after a kill of all processes, no agent knows.
+        """
+        return self._health.is_failing or not self._target.was_heard
+
     @property
     def health(self) -> TargetHealth:
         """Outlier detection by the outcomes of the target's requests."""
@@ -136,7 +146,7 @@
             cold_ms=self._target.cold_ms,
             version=self._routes.table.version,
             check_age_ms=self._routes.check_age_ms,
-            is_failing=self._health.is_failing,
+            is_failing=self.is_ejected,
             uptime_ms=self._clock.now_ms() - self._started_ms,
             has_new_target=self._target.saw_target_start
             or self._target.is_absent,
--- a/anvilthread/flows/node_messages.py
+++ b/anvilthread/flows/node_messages.py
@@ -20,7 +20,8 @@
         version: Version of the configuration in force.
         check_age_ms: Age of the last check of that version with the store; -1
             if it has never been checked.
-        is_failing: Whether the target is ejected because its requests fail.
+        is_failing: Whether the target is ejected because its requests fail, or
+            because it has not told yet whether it drains.
         uptime_ms: Time since the start of the agent's process.
         has_new_target: Whether the target has started together with the agent
             or later, so that it holds no earlier flow.
--- a/anvilthread/flows/target_watch.py
+++ b/anvilthread/flows/target_watch.py
@@ -67,6 +67,11 @@
         last = self._incarnations.last
         return last is not None and last.is_draining
 
+    @property
+    def was_heard(self) -> bool:
+        """Whether a heartbeat has arrived since this process started."""
+        return self._incarnations.last is not None
+
     @property
     def has_departed(self) -> bool:
         """Whether the target has said that it stops, or stopped while draining.
@@ -122,7 +127,7 @@
         Before the first heartbeat is due, a target is assumed to run: an
         opening packet that it does not answer is placed on another agent.
         """
-        if self._incarnations.last is None:
+        if not self.was_heard:
             return not self._is_absent and (
                 self._clock.now_ms() - self._started_ms
                 <= self._silence_timeout_ms
--- a/tests/flows/test_flows.py
+++ b/tests/flows/test_flows.py
@@ -136,6 +136,27 @@
     assert len(target.opened) == before
 
 
+@pytest.mark.parametrize(('agents', 'restarted'), [(1, 1), (5, 5), (5, 3)])
+def test_restarted_agents_take_flows_at_once(
+    agents: int, restarted: int
+) -> None:
+    """Guards against no service until the next heartbeats after a restart.
+
+    Their targets may drain unknown to them, but the rest could not carry the
+    load alone.
+    """
+    cluster = FlowCluster(balancers=2, agents=agents)
+    cluster.advance(600)
+    for number in range(restarted):
+        cluster.add_agent(number, sends_heartbeat=False)
+    cluster.advance(300)
+    for number in range(20):
+        cluster.open(flow_key(number), cluster.balancers[number % 2])
+    cluster.advance(50)
+    assert all(cluster.holder(flow_key(number)) for number in range(20))
+    assert all(target.flows for target in cluster.targets)
+
+
 @pytest.mark.parametrize('same_service', [True, False])
 def test_flows_survive_another_balancer(same_service: bool) -> None:
     """Guards against flows lost when routers select another balancer."""
