--- a/anvilthread/flow_node/agent_process.py
+++ b/anvilthread/flow_node/agent_process.py
@@ -48,7 +48,7 @@
         '_agent',
         '_codec',
         '_target',
-        '_was_failing',
+        '_was_ejected',
         'process',
     )
 
@@ -76,7 +76,7 @@
             log=process.log,
             counters=process.counters,
         )
-        self._was_failing = False
+        self._was_ejected = False
 
     def _report_to_new_balancer(self, node: KnownNode) -> None:
         """Sends a balancer that has just started the target's state at once."""
@@ -166,11 +166,26 @@
         if listens is not None:
             self._target.on_probe(is_listening=listens)
 
+    def _probe_silent_target(self) -> None:
+        """Finds out whether a target that does not answer has ended."""
+        endpoint = self.process.settings.target_address
+        silence = self._agent.condition.silence
+        listens: bool | None = None
+        silence.start_probe()
+        try:
+            if endpoint is not None:
+                listens = is_listening(endpoint)
+        finally:
+            silence.finish_probe(is_listening=listens)
+
     def _tick(self) -> None:
         self._agent.tick()
-        is_failing = self._agent.condition.health.is_failing
-        if is_failing != self._was_failing:
-            self._was_failing = is_failing
+        if self._agent.condition.needs_probe:
+            # A probe takes up to 0.2 s, so packets go on beside it.
+            self.process.tasks.run(self._probe_silent_target)
+        is_ejected = self._agent.condition.is_ejected
+        if is_ejected != self._was_ejected:
+            self._was_ejected = is_ejected
             self._report_to_all_balancers()
 
     def _report_to_balancers(self) -> None:
