Leave out agents that have not heard their target only if few have restarted

After a kill of all processes, heartbeats arrive one by one within 1.2 s. Counting the agents without one as failing left up to half of the targets idle in that time, as soon as the other half had been heard. The report says so in a field of its own now, and balancers use every agent if most have started within 1.5 s.

The new row of test_restarted_agents_take_flows_at_once fails without the rule. tests/flows passes.

--- a/anvilthread/flows/agent_condition.py
+++ b/anvilthread/flows/agent_condition.py
@@ -87,8 +87,7 @@
         """Whether new flows are to be placed elsewhere, if there is room.
 
         Before its first heartbeat, the target may be draining without this
-        process knowing. Balancers decide how many agents they can do without:
-        after a kill of all processes, no agent knows.
+        process knowing.
         """
         return self._health.is_failing or not self._target.was_heard
 
@@ -146,10 +145,11 @@
             cold_ms=self._target.cold_ms,
             version=self._routes.table.version,
             check_age_ms=self._routes.check_age_ms,
-            is_failing=self.is_ejected,
+            is_failing=self._health.is_failing,
             uptime_ms=self._clock.now_ms() - self._started_ms,
             has_new_target=self._target.saw_target_start
             or self._target.is_absent,
+            knows_target=self._target.was_heard,
         )
 
     def record_opening(self, key: FlowKey) -> None:
--- a/anvilthread/flows/flow_placement.py
+++ b/anvilthread/flows/flow_placement.py
@@ -19,6 +19,10 @@
 #: them fail, the cause is elsewhere, and the rest could not carry the load.
 _MAX_EJECTED_SHARE: Final = 0.5
 
+#: Time after its start within which an agent may not have heard its target: the
+#: longest heartbeat interval in use (1.2 s), and its jitter.
+_RESTARTED_MS: Final = 1500
+
 
 class FlowPlacement:
     """Chooses among the agents of a service by their load.
@@ -54,7 +58,7 @@
             if node.accepts and node.host not in excluded
         ]
         fresh = [node for node in agents if node.is_fresh(now_ms)]
-        usable = _without_failing(fresh or agents)
+        usable = _without_failing(_without_unheard(fresh or agents, now_ms))
         if not usable:
             return None
         chosen = min(rank_agents(key, usable)[:CANDIDATES], key=_load)
@@ -62,6 +66,18 @@
         return chosen
 
 
+def _without_unheard(agents: list[KnownNode], now_ms: int) -> list[KnownNode]:
+    """Excludes agents that do not know yet whether their target drains.
+
+    After a restart of most processes at once, heartbeats arrive one by one
+    while clients return, and the agents heard first could not carry the load.
+    """
+    restarted = sum(node.uptime_ms(now_ms) < _RESTARTED_MS for node in agents)
+    if restarted * 2 > len(agents):
+        return agents
+    return [node for node in agents if node.knows_target] or agents
+
+
 def _without_failing(agents: list[KnownNode]) -> list[KnownNode]:
     """Excludes agents with failing targets, unless there are too many."""
     healthy = [node for node in agents if not node.is_failing]
--- a/anvilthread/flows/known_node.py
+++ b/anvilthread/flows/known_node.py
@@ -119,6 +119,11 @@
         """Whether the target of the peer is an outlier by its failures."""
         return self._report is not None and self._report.is_failing
 
+    @property
+    def knows_target(self) -> bool:
+        """Whether the peer has heard its target since its start."""
+        return self._report is None or self._report.knows_target
+
     @property
     def load(self) -> float:
         """Expected requests per slot, including flows placed by this node."""
--- a/anvilthread/flows/node_messages.py
+++ b/anvilthread/flows/node_messages.py
@@ -20,8 +20,7 @@
         version: Version of the configuration in force.
         check_age_ms: Age of the last check of that version with the store; -1
             if it has never been checked.
-        is_failing: Whether the target is ejected because its requests fail, or
-            because it has not told yet whether it drains.
+        is_failing: Whether the target is ejected because its requests fail.
         uptime_ms: Time since the start of the agent's process.
         has_new_target: Whether the target has started together with the agent
             or later, so that it holds no earlier flow.
@@ -31,6 +30,7 @@
         waiting: Opening packets that wait at the agent.
         limit: Requests that the agent lets into its target at a time; 0 if it
             does not limit them.
+        knows_target: Whether a heartbeat has told whether the target drains.
     """
 
     node: NodeRecord
@@ -51,6 +51,7 @@
     wait_ms: int = 0
     waiting: int = 0
     limit: int = 0
+    knows_target: bool = True
 
 
 class Hello(Message, frozen=True, tag=10):
--- a/anvilthread/flows/target_watch.py
+++ b/anvilthread/flows/target_watch.py
@@ -56,11 +56,6 @@
         last = self._incarnations.last
         return 1 if last is None else last.slots
 
-    @property
-    def has_heartbeat(self) -> bool:
-        """Whether a heartbeat of the target is in effect."""
-        return self._incarnations.last is not None
-
     @property
     def cold_ms(self) -> int:
         """Remaining time of the slow start of the target."""
--- a/anvilthread/flows/warmup_limiter.py
+++ b/anvilthread/flows/warmup_limiter.py
@@ -86,7 +86,7 @@
 
     @property
     def _may_be_cold(self) -> bool:
-        return self._target.cold_ms > 0 or not self._target.has_heartbeat
+        return self._target.cold_ms > 0 or not self._target.was_heard
 
     def _remove_old(self) -> None:
         oldest_ms = self._clock.now_ms() - _WINDOW_MS
--- a/tests/flows/test_flows.py
+++ b/tests/flows/test_flows.py
@@ -136,9 +136,18 @@
     assert len(target.opened) == before
 
 
-@pytest.mark.parametrize(('agents', 'restarted'), [(1, 1), (5, 5), (5, 3)])
+@pytest.mark.parametrize(
+    ('agents', 'restarted', 'heard'),
+    [
+        (1, 1, 0),
+        (5, 5, 0),
+        (5, 3, 0),
+        # Most targets have sent a heartbeat since a restart of all agents.
+        (5, 5, 3),
+    ],
+)
 def test_restarted_agents_take_flows_at_once(
-    agents: int, restarted: int
+    agents: int, restarted: int, heard: int
 ) -> None:
     """Guards against no service until the next heartbeats after a restart.
 
@@ -148,7 +157,7 @@
     cluster = FlowCluster(balancers=2, agents=agents)
     cluster.advance(600)
     for number in range(restarted):
-        cluster.add_agent(number, sends_heartbeat=False)
+        cluster.add_agent(number, sends_heartbeat=number < heard)
     cluster.advance(300)
     for number in range(20):
         cluster.open(flow_key(number), cluster.balancers[number % 2])
