Reset flows lost with the power at late balancers without a wait of 3 s

Clients of a balancer that started 2 to 3 s after the agents, as the smallest ones do after a loss of power, waited 3 s for the reset of a flow that was lost: the balancer took itself for restarted alone.

A loss now also counts if most agents have started up to 4 s before the balancer with new targets. Others have opened flows in that time, so the balancer first waits until no further agent has become known for 150 ms.

The test of flows opened since the loss found another fault, which the earlier code had as well: an agent that does not answer five hellos is left out of the roster, so its flows were reset (case 500-700, agents cut off for 0.7 s). An early proof now requires that no named agent has been left out.

--- a/anvilthread/flows/fleet_view.py
+++ b/anvilthread/flows/fleet_view.py
@@ -28,6 +28,16 @@
 #: count as started together, as after a loss of power.
 _COMMON_START_MS: Final = 1500
 
+#: Time by which agents may start before this node and still have lost their
+#: flows in the same loss of power, if their targets are new. The smallest
+#: balancers start 2 to 3 s after the agents.
+_LATE_START_MS: Final = 4000
+
+#: Time without a further agent after which a node that has started late knows
+#: all of them. Flows have been opened since the loss, so that an unknown agent
+#: may hold some. Lists of peers arrive within a few round trips.
+_LATE_KNOWN_MS: Final = 150
+
 
 class FleetView:
     """Interprets the roster of a balancer: who may hold a flow, who is gone.
@@ -38,9 +48,12 @@
     """
 
     __slots__ = (
+        '_agents_since_ms',
         '_clock',
         '_flows_are_lost',
+        '_flows_were_lost',
         '_last_tick_ms',
+        '_named_agents',
         '_roster',
         '_started_ms',
         '_started_with_others',
@@ -52,7 +65,14 @@
         self._started_ms = clock.now_ms()
         self._last_tick_ms = self._started_ms
         self._started_with_others = False
+        #: Whether most agents have lost their flows together with the start of
+        #: this node, or up to some seconds before it.
         self._flows_are_lost = False
+        self._flows_were_lost = False
+        #: Hosts of all agents that were known at some time while this node was
+        #: starting, and the time at which the last one was added.
+        self._named_agents: set[str] = set()
+        self._agents_since_ms = self._started_ms
 
     @property
     def is_settled(self) -> bool:
@@ -92,11 +112,19 @@
         node waits until it has settled. A node that hears less than half of
         the agents may itself be cut off.
         """
-        is_loss = self._flows_are_lost and self._uptime_ms > _LOSS_STARTUP_MS
-        if not is_loss and not self.is_settled:
-            return False
         now_ms = self._clock.now_ms()
         agents = self._roster.all_agents()
+        if not self.is_settled:
+            if self._uptime_ms <= _LOSS_STARTUP_MS:
+                return False
+            knows_all = now_ms - self._agents_since_ms >= _LATE_KNOWN_MS
+            is_lost_before = self._flows_were_lost and knows_all
+            if not self._flows_are_lost and not is_lost_before:
+                return False
+            # An agent that does not answer hellos is soon left out of the
+            # roster, although others that have named it may still hear it.
+            if len(agents) < len(self._named_agents):
+                return False
         heard = sum(node.is_fresh(now_ms) for node in agents)
         return heard * 2 >= max(len(agents), 1)
 
@@ -127,6 +155,7 @@
         now_ms = self._clock.now_ms()
         if now_ms - self._last_tick_ms > _MAX_PAUSE_MS:
             self._started_ms = now_ms
+            self._named_agents.clear()
         self._last_tick_ms = now_ms
         self._update_common_start(now_ms)
 
@@ -138,17 +167,43 @@
         """Checks whether most agents have started together with this node."""
         self._started_with_others = False
         self._flows_are_lost = False
+        self._flows_were_lost = False
         if self.is_settled:
             return
+        hosts = {node.host for node in self._roster.all_agents()}
+        if not hosts <= self._named_agents:
+            self._named_agents |= hosts
+            self._agents_since_ms = now_ms
         uptime_ms = self._uptime_ms
         heard = [
             node for node in self._roster.all_agents() if node.is_fresh(now_ms)
         ]
-        together = [
-            node
-            for node in heard
-            if abs(node.uptime_ms(now_ms) - uptime_ms) <= _COMMON_START_MS
+        leads_ms = [node.uptime_ms(now_ms) - uptime_ms for node in heard]
+        leads_of_new_ms = [
+            lead_ms
+            for node, lead_ms in zip(heard, leads_ms, strict=True)
+            if node.has_new_target
         ]
-        without_flows = sum(node.has_new_target for node in together)
-        self._started_with_others = len(together) * 2 > len(heard)
-        self._flows_are_lost = without_flows * 2 > len(heard)
+        self._started_with_others = _are_most(
+            leads_ms, _COMMON_START_MS, len(heard)
+        )
+        self._flows_are_lost = _are_most(
+            leads_of_new_ms, _COMMON_START_MS, len(heard)
+        )
+        self._flows_were_lost = _are_most(
+            leads_of_new_ms, _LATE_START_MS, len(heard)
+        )
+
+
+def _are_most(leads_ms: list[int], max_lead_ms: int, heard: int) -> bool:
+    """Whether most agents heard have started about when this node has.
+
+    Args:
+        leads_ms: Times by which agents have started before this node.
+        max_lead_ms: Maximum of such a time.
+        heard: Number of agents heard.
+    """
+    started = sum(
+        -_COMMON_START_MS <= lead_ms <= max_lead_ms for lead_ms in leads_ms
+    )
+    return started * 2 > heard
--- a/tests/flows/test_holder_search.py
+++ b/tests/flows/test_holder_search.py
@@ -324,6 +324,42 @@
     assert median(resets_ms) <= started_ms + 500
 
 
+@pytest.mark.parametrize('cut_ms', [0, 250, 700])
+@pytest.mark.parametrize('late_ms', [500, 2500, 3800])
+def test_late_balancer_keeps_flows_opened_since_the_loss(
+    late_ms: int, cut_ms: int
+) -> None:
+    """Guards against live flows reset with those that were lost.
+
+    Pattern: a power loss; a balancer starts after others have opened flows,
+    and does not reach some of their agents at first.
+    """
+    cluster = _cluster(agents=12)
+    for number in range(12):
+        cluster.nodes.pop(f'10.0.1.{number + 1}')
+        cluster.add_agent(number)
+    for number in range(2):
+        cluster.add_balancer(number)
+    cluster.advance(late_ms - 400)
+    keys = _open(cluster, 40)
+    cluster.advance(80)
+    late = cluster.add_balancer(7)
+    hosts = [node.record.host for node in cluster.agents[::3]]
+    cuts = {(host, late.record.host) for host in hosts}
+    cluster.cuts = cuts | {(late.record.host, host) for host in hosts}
+    for step in range(10):
+        if 100 * step >= cut_ms:
+            cluster.cuts = set()
+        for key in keys:
+            cluster.request(key, b'next', late, is_copy=step > 0)
+        cluster.advance(100)
+    # A balancer that has left out an agent hears it with the next list.
+    cluster.advance(2000)
+    for key in keys:
+        assert not cluster.is_reset(key)
+        assert len(cluster.bodies(key)) == 2
+
+
 @pytest.mark.parametrize('vanishes', [True, False])
 def test_agents_without_targets_hide_no_loss(vanishes: bool) -> None:
     """Guards against clients that wait for agents beside no target.
