Exclude evacuated sites from the placement of new flows

Callers: where the settings specify evacuation_ms, the node that reads the operator's configuration reads the keys op/evacuate/SITE in the same call. Balancers place no flow at agents of these sites, and the agents refuse opening packets with reason "evacuated" and report at once. Elsewhere the store call stays GET /kv-key?key=op/config.

Reason: nothing read the operator's requests to evacuate a site.

Change: EvacuationHolder orders views by era and revision, and keeps a site evacuated for 10 s after a restore that has lost its key. Views travel in hellos and with the configuration over TCP. A node without a view has no configuration in force. A view has an age of its own, since load reports confirm the configuration only; a node that gets no hellos reads the store.

Tests: ConfigurationSource returns a StoreReading, so the stand-in source of test_configuration_follower.py does as well. test_hello_of_an_earlier_release checked that the era is the last element of a hello; it now removes up to three elements, one at a time.

--- a/anvilthread/flow_node/agent_process.py
+++ b/anvilthread/flow_node/agent_process.py
@@ -48,6 +48,7 @@
         '_agent',
         '_codec',
         '_target',
+        '_was_evacuated',
         '_was_failing',
         'process',
     )
@@ -77,6 +78,8 @@
             counters=process.counters,
         )
         self._was_failing = False
+        self._was_evacuated = False
+        process.routes.evacuations.subscribe(self._on_evacuation)
 
     def _report_to_new_balancer(self, node: KnownNode) -> None:
         """Sends a balancer that has just started the target's state at once."""
@@ -173,6 +176,13 @@
             self._was_failing = is_failing
             self._report_to_all_balancers()
 
+    def _on_evacuation(self) -> None:
+        """Reports at once if the site of this agent is affected."""
+        is_evacuated = self._agent.condition.is_evacuated
+        if is_evacuated != self._was_evacuated:
+            self._was_evacuated = is_evacuated
+            self._report_to_all_balancers()
+
     def _report_to_balancers(self) -> None:
         process = self.process
         while True:
--- a/anvilthread/flow_node/balancer_process.py
+++ b/anvilthread/flow_node/balancer_process.py
@@ -46,7 +46,12 @@
             network=process.network,
             codec=codec,
             routes=process.routes,
-            placement=FlowPlacement(clock=process.clock, roster=process.roster),
+            placement=FlowPlacement(
+                clock=process.clock,
+                roster=process.roster,
+                evacuations=process.routes.evacuations,
+                counters=process.counters,
+            ),
             fleet=FleetView(clock=process.clock, roster=process.roster),
             log=process.log,
             counters=process.counters,
--- a/anvilthread/flow_node/document_server.py
+++ b/anvilthread/flow_node/document_server.py
@@ -4,22 +4,36 @@
 from typing import Final
 
 import gevent
+import msgspec
 from gevent import socket
 from gevent.server import StreamServer
 from result import Err, Ok, Result
 
+from anvilthread.decoding import DECODE_ERRORS
 from anvilthread.error import AnvilthreadError
+from anvilthread.flow_node.transferred_document import TransferredDocument
 from anvilthread.flows.route_holder import RouteHolder
 
 #: Time limit of a whole transfer. A configuration of 100 kB takes 0.2 s over
 #: the slowest current link, 5 Mbit/s.
 _TRANSFER_TIMEOUT_S: Final = 1.5
 
-#: Precedes the document: its length in bytes.
+#: Precedes the content: its length in bytes.
 _LENGTH_PREFIX: Final = struct.Struct('!I')
 
-#: Largest document that is read: the largest value that the store holds.
-_MAX_DOCUMENT_BYTES: Final = 1_048_576
+#: Largest content that is read: the largest value that the store holds, and
+#: as much again for evacuated sites, which the store returns in one page.
+_MAX_CONTENT_BYTES: Final = 2 * 1_048_576
+
+#: Errors of the connection, and of content that cannot be decoded.
+_TRANSFER_ERRORS: Final = (
+    OSError,
+    EOFError,
+    gevent.Timeout,
+    *DECODE_ERRORS,
+)
+
+_decoder = msgspec.msgpack.Decoder(TransferredDocument)
 
 
 class TransferError(AnvilthreadError):
@@ -27,11 +41,11 @@
 
 
 class DocumentServer:
-    """Sends the configuration in force to every node that connects.
+    """Sends configuration and evacuated sites to every node that connects.
 
     Args:
         endpoint: Host and TCP port to bind.
-        routes: Holds the configuration in force.
+        routes: Holds the configuration and the evacuated sites in force.
     """
 
     __slots__ = ('_routes', '_server')
@@ -49,29 +63,38 @@
     def _send_document(
         self, connection: socket.socket, _address: tuple[str, int]
     ) -> None:
-        document = self._routes.table.document
+        evacuations = self._routes.evacuations
+        content = msgspec.msgpack.encode(
+            TransferredDocument(
+                document=self._routes.table.document,
+                evacuation=evacuations.view,
+                evacuation_age_ms=evacuations.age_ms,
+            )
+        )
         connection.settimeout(_TRANSFER_TIMEOUT_S)
         try:
-            connection.sendall(_LENGTH_PREFIX.pack(len(document)) + document)
+            connection.sendall(_LENGTH_PREFIX.pack(len(content)) + content)
         except OSError:
             # The reader has disconnected or is too slow; it asks another node.
             connection.close()
 
 
-def fetch_document(host: str, port: int) -> Result[bytes, TransferError]:
-    """Fetches the configuration in force at another node.
+def fetch_document(
+    host: str, port: int
+) -> Result[TransferredDocument, TransferError]:
+    """Fetches the configuration and evacuated sites in force at another node.
 
     Args:
         host: Host of the node.
         port: Its TCP port for documents.
 
     Returns:
-        The document as the store holds it.
+        The configuration as the store holds it, and the evacuated sites.
     """
     try:
         with gevent.Timeout(_TRANSFER_TIMEOUT_S):
             return Ok(_read_document(host, port))
-    except (OSError, EOFError, gevent.Timeout) as error:
+    except _TRANSFER_ERRORS as error:
         return Err(
             TransferError(
                 reason=f'transfer from {host} failed, {error!r}',
@@ -80,7 +103,7 @@
         )
 
 
-def _read_document(host: str, port: int) -> bytes:
+def _read_document(host: str, port: int) -> TransferredDocument:
     connection = socket.create_connection(
         (host, port), timeout=_TRANSFER_TIMEOUT_S
     )
@@ -88,8 +111,11 @@
         head = stream.read(_LENGTH_PREFIX.size)
         if len(head) < _LENGTH_PREFIX.size:
             raise EOFError('connection closed before the length')
-        size = min(_LENGTH_PREFIX.unpack(head)[0], _MAX_DOCUMENT_BYTES)
-        document = stream.read(size)
-        if len(document) < size or not document:
-            raise EOFError('connection closed within the document')
-        return bytes(document)
+        size = min(_LENGTH_PREFIX.unpack(head)[0], _MAX_CONTENT_BYTES)
+        content = stream.read(size)
+    if len(content) < size:
+        raise EOFError('connection closed within the content')
+    transferred = _decoder.decode(content)
+    if not transferred.document:
+        raise EOFError('no configuration is in force there')
+    return transferred
--- a/anvilthread/flow_node/flow_process.py
+++ b/anvilthread/flow_node/flow_process.py
@@ -7,31 +7,29 @@
 from typing import Final
 
 import gevent
-import msgspec
 from gevent.event import Event
-from result import Err, Result
 
 from anvilthread.clock import SystemClock
-from anvilthread.decoding import DECODE_ERRORS
-from anvilthread.error import AnvilthreadError
 from anvilthread.flow_node.datagram_socket import DatagramSocket
 from anvilthread.flow_node.document_server import DocumentServer
 from anvilthread.flow_node.flow_node_settings import FlowNodeSettings
 from anvilthread.flow_node.line_log import LineLog
+from anvilthread.flow_node.message_dispatcher import MessageDispatcher
+from anvilthread.flow_node.node_gauges import node_gauges
 from anvilthread.flow_node.node_network import NodeNetwork
+from anvilthread.flow_node.settings_watch import SettingsLoader, SettingsWatch
 from anvilthread.flow_node.task_supervisor import TaskSupervisor
 from anvilthread.flows.configuration_follower import ConfigurationFollower
 from anvilthread.flows.configuration_source import ConfigurationSource
 from anvilthread.flows.directory_client import DirectoryClient
+from anvilthread.flows.evacuation_holder import EvacuationHolder
 from anvilthread.flows.flow_counters import FlowCounters
 from anvilthread.flows.flow_packet import FlowPacket
 from anvilthread.flows.introducer import Introducer
-from anvilthread.flows.message_codec import decode_message
 from anvilthread.flows.messages import MessageHandlers
 from anvilthread.flows.node_directory import NodeDirectory
 from anvilthread.flows.node_messages import Leaving
 from anvilthread.flows.node_record import NodeRecord
-from anvilthread.flows.peer_messages import PeerMessages
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
 from anvilthread.flows.store_era import StoreEra
@@ -46,13 +44,11 @@
 _STDOUT: Final = 1
 _INCARNATION_BITS: Final = 40
 
-#: Interval at which the settings file is read without a signal.
-_SETTINGS_POLL_S: Final = 30
-
-_MS_PER_SECOND: Final = 1000
+#: Interval at which the names of evacuated sites and their retention, of 10 s,
+#: are checked.
+_EVACUATION_TICK_MS: Final = 500
 
 PacketDecoder = Callable[[bytes], FlowPacket | None]
-SettingsLoader = Callable[[], Result[FlowNodeSettings, AnvilthreadError]]
 
 
 class FlowProcess:
@@ -74,21 +70,17 @@
         'random',
         'roster',
         'routes',
-        'settings',
         'stop_requested',
         'tasks',
-        '_follower',
-        '_handlers',
+        '_dispatcher',
         '_node_socket',
-        '_peer_messages',
-        '_reload_requested',
+        '_settings_watch',
         '_store_era',
     )
 
     def __init__(
         self, *, settings: FlowNodeSettings, packet_endpoint: tuple[str, int]
     ) -> None:
-        self.settings = settings
         self.clock = SystemClock()
         self.random = Random()
         self.log = LineLog(
@@ -99,8 +91,6 @@
             clock=self.clock, log=self.log, counters=self.counters
         )
         self.stop_requested = Event()
-        #: Set by SIGHUP; cleared when the settings are read again.
-        self._reload_requested = Event()
         self._node_socket = DatagramSocket(
             endpoint=(settings.host, settings.node_port), log=self.log
         )
@@ -117,7 +107,15 @@
         self.roster = Roster(
             clock=self.clock, local_node=self._build_node_record(), log=self.log
         )
-        self.routes = RouteHolder(clock=self.clock, log=self.log)
+        self.routes = RouteHolder(
+            clock=self.clock,
+            log=self.log,
+            evacuations=EvacuationHolder(
+                clock=self.clock,
+                log=self.log,
+                is_enabled=settings.evacuation_ms is not None,
+            ),
+        )
         self._store_era = StoreEra(log=self.log)
         self.introducer = Introducer(
             clock=self.clock,
@@ -128,14 +126,20 @@
             store_era=self._store_era,
         )
         self.introducer.add_contacts(settings.contacts)
-        self._peer_messages = PeerMessages(
+        self._settings_watch = SettingsWatch(
+            settings=settings, introducer=self.introducer, log=self.log
+        )
+        self._dispatcher = MessageDispatcher(
             roster=self.roster,
             introducer=self.introducer,
-            on_version=self._on_peer_version,
             log=self.log,
+            counters=self.counters,
         )
-        self._follower: ConfigurationFollower | None = None
-        self._handlers: MessageHandlers = {}
+
+    @property
+    def settings(self) -> FlowNodeSettings:
+        """Settings of the process."""
+        return self._settings_watch.settings
 
     @property
     def is_ready(self) -> bool:
@@ -160,7 +164,7 @@
             handlers: Handle the messages about flows.
         """
         settings = self.settings
-        self._follower = ConfigurationFollower(
+        follower = ConfigurationFollower(
             clock=self.clock,
             random=self.random,
             source=source,
@@ -183,16 +187,16 @@
             endpoint=(settings.host, settings.node_port), routes=self.routes
         )
         document_server.start()
-        gevent.signal_handler(signal.SIGTERM, self.stop_requested.set)
-        gevent.signal_handler(signal.SIGHUP, self._reload_requested.set)
-        self._handlers = handlers
-        self.tasks.run(partial(self._node_socket.serve, self._dispatch))
-        self.tasks.run(self._follower.follow_store)
-        self.tasks.run(self._follower.follow_peers)
+        self._handle_signals()
+        self._dispatcher.connect(handlers, follower)
+        self.tasks.run(
+            partial(self._node_socket.serve, self._dispatcher.dispatch)
+        )
+        self.tasks.run(follower.follow_store)
+        self.tasks.run(follower.follow_peers)
         self.tasks.run(directory_client.discover)
         self.tasks.run(directory_client.register)
-        self.tasks.run_periodically(_HELLO_TICK_MS, self.introducer.tick)
-        self.tasks.run_periodically(_LOG_FLUSH_MS, self.log.flush)
+        self._run_periodic_tasks()
         self.log.event(
             'process_started',
             role=settings.role.name.lower(),
@@ -221,37 +225,16 @@
     def watch_settings(self, load: SettingsLoader) -> None:
         """Reads the settings again on SIGHUP and at an interval, forever.
 
-        Only the contacts can change without a restart; a change of another
-        field is logged, and the running settings stay.
-
         Args:
             load: Reads the settings file.
         """
-        while True:
-            is_signalled = self._reload_requested.wait(_SETTINGS_POLL_S)
-            self._reload_requested.clear()
-            loaded = load()
-            if isinstance(loaded, Err):
-                self.log.warning(
-                    'settings_refused',
-                    reason=loaded.err_value.reason,
-                    remedy=loaded.err_value.remedy,
-                )
-            elif is_signalled or loaded.ok_value != self.settings:
-                self._apply_settings(loaded.ok_value)
+        self._settings_watch.follow(load)
 
     def gauges(self) -> dict[str, Callable[[], float]]:
         """Returns the gauges that both roles export."""
-        return {
-            'anvilthread_configuration_version': lambda: (
-                self.routes.table.version
-            ),
-            'anvilthread_configuration_check_age_seconds': lambda: (
-                self.routes.check_age_ms / _MS_PER_SECOND
-            ),
-            'anvilthread_store_era': lambda: self._store_era.number,
-            'anvilthread_nodes_known': lambda: len(self.roster.nodes),
-        }
+        return node_gauges(
+            routes=self.routes, roster=self.roster, store_era=self._store_era
+        )
 
     def leave(self, *, returns: bool) -> None:
         """Announces to every node that this process stops.
@@ -277,17 +260,24 @@
         else:
             handle(packet)
 
-    def _apply_settings(self, settings: FlowNodeSettings) -> None:
-        self.introducer.add_contacts(settings.contacts)
-        self.settings = msgspec.structs.replace(
-            self.settings, contacts=settings.contacts
-        )
-        self.log.event(
-            'settings_reloaded',
-            contacts=','.join(settings.contacts),
-            needs_restart=self.settings != settings,
+    def _handle_signals(self) -> None:
+        gevent.signal_handler(signal.SIGTERM, self.stop_requested.set)
+        gevent.signal_handler(
+            signal.SIGHUP, self._settings_watch.request_reload
         )
 
+    def _run_periodic_tasks(self) -> None:
+        self.tasks.run_periodically(_HELLO_TICK_MS, self.introducer.tick)
+        self.tasks.run_periodically(_LOG_FLUSH_MS, self.log.flush)
+        if not self.routes.evacuations.is_enabled:
+            return
+        # Exported as 0 as long as it is.
+        self.counters.add('flow_placed_evacuated', 0)
+        self.tasks.run_periodically(_EVACUATION_TICK_MS, self._check_sites)
+
+    def _check_sites(self) -> None:
+        self.routes.evacuations.tick(lambda: self.roster.sites)
+
     def _build_node_record(self) -> NodeRecord:
         settings = self.settings
         return NodeRecord(
@@ -297,24 +287,3 @@
             service=settings.service,
             incarnation=self.random.getrandbits(_INCARNATION_BITS),
         )
-
-    def _dispatch(self, content: bytes, host: str) -> None:
-        try:
-            message = decode_message(content)
-        except DECODE_ERRORS as error:
-            self.counters.add('messages_malformed')
-            self.log.event('message_malformed', sender=host, reason=str(error))
-            return
-        if self._peer_messages.handle(host, message):
-            return
-        handle = self._handlers.get(type(message))
-        if handle is None:
-            self.counters.add('messages_misdirected')
-        else:
-            handle(host, message)
-
-    def _on_peer_version(
-        self, host: str, version: int, check_age_ms: int
-    ) -> None:
-        if self._follower is not None:
-            self._follower.on_version(host, version, check_age_ms)
--- a/anvilthread/flows/agent_condition.py
+++ b/anvilthread/flows/agent_condition.py
@@ -30,7 +30,7 @@
     Args:
         clock: Source of time.
         agent: Identity of the agent.
-        routes: Configuration in force.
+        routes: Configuration and evacuated sites in force.
         flows: Flows of the target.
         target: State of the target, from its heartbeats and packets.
         log: Receives each change.
@@ -77,7 +77,13 @@
     @property
     def accepts(self) -> bool:
         """Whether new flows may be placed on this agent."""
-        return self._target.accepts and not self._is_stopping
+        is_available = self._target.accepts and not self._is_stopping
+        return is_available and not self.is_evacuated
+
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether the site of the agent is evacuated."""
+        return self._agent.site in self._routes.evacuations.sites
 
     @property
     def health(self) -> TargetHealth:
@@ -91,7 +97,9 @@
             return 'stopping'
         if self._target.is_absent:
             return 'no_target'
-        return 'draining' if self._target.is_draining else ''
+        if self._target.is_draining:
+            return 'draining'
+        return 'evacuated' if self.is_evacuated else ''
 
     def stop(self) -> None:
         """Refuses all new flows from this call on."""
--- a/anvilthread/flows/configuration_follower.py
+++ b/anvilthread/flows/configuration_follower.py
@@ -4,15 +4,18 @@
 from typing import Final
 
 from gevent.event import Event
-from result import Err
+from result import Err, Ok, Result
 
 from anvilthread.clock import Clock
+from anvilthread.error import AnvilthreadError
 from anvilthread.flows.configuration_source import ConfigurationSource
 from anvilthread.flows.introducer import Introducer
 from anvilthread.flows.node_record import NodeRole
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
+from anvilthread.flows.route_table import RouteTable
 from anvilthread.flows.store_era import StoreEra
+from anvilthread.flows.store_reading import StoreReading
 from anvilthread.telemetry.log import Log
 
 #: Age of the last check from which an agent reads the store again. A change
@@ -118,7 +121,7 @@
         self._draw_max_check_age()
         self._await_peers()
         while True:
-            check_age_ms = self._routes.check_age_ms
+            check_age_ms = self._check_age_ms
             if not 0 <= check_age_ms < self._max_check_age_ms:
                 pause_ms = self._read_store()
             else:
@@ -146,27 +149,33 @@
                 )
                 self._newer_version = 0
                 continue
-            self._routes.update(answer.ok_value, f'peer:{host}')
+            self._apply_peer(answer.ok_value, f'peer:{host}')
 
     def _read_store(self) -> int:
         """Reads the store once; returns the delay until the next check in ms."""
         started_ms = self._clock.now_ms()
         answer = self._source.read()
         took_ms = self._clock.now_ms() - started_ms
-        if isinstance(answer, Err):
+        if isinstance(answer, Ok):
+            self._apply_evacuation(answer.ok_value, took_ms)
+        configuration = answer.and_then(_configuration_of)
+        if isinstance(configuration, Err):
             if not self._is_store_lost:
                 self._is_store_lost = True
                 self._log.warning(
                     'store_lost',
                     took_ms=took_ms,
-                    reason=answer.err_value.reason,
-                    remedy=answer.err_value.remedy,
+                    reason=configuration.err_value.reason,
+                    remedy=configuration.err_value.remedy,
                 )
             return int(_RETRY_DELAY_MS * self._random.uniform(0.5, 1.5))
         if self._is_store_lost:
             self._is_store_lost = False
             self._log.event('store_regained', took_ms=took_ms)
-        table = answer.ok_value
+        self._apply_store(configuration.ok_value, took_ms)
+        return _POLL_INTERVAL_MS
+
+    def _apply_store(self, table: RouteTable, took_ms: int) -> None:
         if table.version < self._routes.table.version:
             self._log.warning(
                 'store_returned_older_version',
@@ -179,7 +188,42 @@
         self._routes.confirm(took_ms)
         self._introducer.announce()
         self._draw_max_check_age()
-        return _POLL_INTERVAL_MS
+
+    def _apply_evacuation(self, reading: StoreReading, took_ms: int) -> None:
+        if reading.evacuation is None:
+            return
+        evacuations = self._routes.evacuations
+        before = evacuations.sites
+        evacuations.update(reading.evacuation, 'store', took_ms)
+        # A lower view counts as a check as well, as with the configuration.
+        evacuations.confirm(took_ms)
+        evacuations.ignore(reading.ignored, 'store')
+        has_changed = evacuations.sites != before
+        if has_changed and isinstance(reading.configuration, Err):
+            # Otherwise, the configuration is announced at each read.
+            self._introducer.announce()
+
+    def _apply_peer(self, reading: StoreReading, source: str) -> None:
+        # Before the configuration, which is not in force without it.
+        if reading.evacuation is not None:
+            self._routes.evacuations.update(
+                reading.evacuation, source, reading.evacuation_age_ms
+            )
+        if isinstance(reading.configuration, Ok):
+            self._routes.update(reading.configuration.ok_value, source)
+
+    @property
+    def _check_age_ms(self) -> int:
+        """Age in ms of the last check of all keys; negative if unknown.
+
+        Load reports confirm the configuration only, so evacuated sites have an
+        age of their own: a node that gets no hellos reads the store itself.
+        """
+        ages_ms = [self._routes.check_age_ms]
+        evacuations = self._routes.evacuations
+        if evacuations.is_enabled:
+            ages_ms.append(evacuations.age_ms)
+        return min(ages_ms) if min(ages_ms) < 0 else max(ages_ms)
 
     def _await_peers(self) -> None:
         if self._roster.local_node.role != NodeRole.BALANCER:
@@ -195,3 +239,9 @@
         if self._roster.local_node.role == NodeRole.BALANCER:
             max_age_ms += _BALANCER_EXTRA_AGE_MS
         self._max_check_age_ms = max_age_ms
+
+
+def _configuration_of(
+    reading: StoreReading,
+) -> Result[RouteTable, AnvilthreadError]:
+    return reading.configuration
--- a/anvilthread/flows/configuration_source.py
+++ b/anvilthread/flows/configuration_source.py
@@ -5,14 +5,14 @@
 from result import Result
 
 from anvilthread.error import AnvilthreadError
-from anvilthread.flows.route_table import RouteTable
+from anvilthread.flows.store_reading import StoreReading
 
 
 class ConfigurationSource(Protocol):
     """Reads the latest configuration; blocks only the calling task."""
 
-    def read(self) -> Result[RouteTable, AnvilthreadError]:
-        """Reads the configuration from the store."""
+    def read(self) -> Result[StoreReading, AnvilthreadError]:
+        """Reads the operator's keys from the store in one call."""
 
-    def read_from(self, host: str) -> Result[RouteTable, AnvilthreadError]:
-        """Reads the configuration in force at another node."""
+    def read_from(self, host: str) -> Result[StoreReading, AnvilthreadError]:
+        """Reads what is in force at another node."""
--- a/anvilthread/flows/flow_placement.py
+++ b/anvilthread/flows/flow_placement.py
@@ -5,6 +5,8 @@
 
 from anvilthread.clock import Clock
 from anvilthread.flows.agent_ranking import rank_agents
+from anvilthread.flows.evacuation_holder import EvacuationHolder
+from anvilthread.flows.flow_counters import FlowCounters
 from anvilthread.flows.flow_key import FlowKey
 from anvilthread.flows.known_node import KnownNode
 from anvilthread.flows.roster import Roster
@@ -26,13 +28,24 @@
     Args:
         clock: Clock for the age of reports.
         roster: The agents and their reports.
+        evacuations: Sites whose agents get no new flow; None for none.
+        counters: Counts flows placed in evacuated sites; None for no count.
     """
 
-    __slots__ = ('_clock', '_roster')
+    __slots__ = ('_clock', '_counters', '_evacuations', '_roster')
 
-    def __init__(self, *, clock: Clock, roster: Roster) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        roster: Roster,
+        evacuations: EvacuationHolder | None = None,
+        counters: FlowCounters | None = None,
+    ) -> None:
         self._clock = clock
         self._roster = roster
+        self._evacuations = evacuations
+        self._counters = counters
 
     def choose(
         self, service: str, key: FlowKey, excluded: Collection[str]
@@ -51,7 +64,9 @@
         agents = [
             node
             for node in self._roster.agents(service)
-            if node.accepts and node.host not in excluded
+            if node.accepts
+            and node.host not in excluded
+            and not self._is_evacuated(node)
         ]
         fresh = [node for node in agents if node.is_fresh(now_ms)]
         usable = _without_failing(fresh or agents)
@@ -59,8 +74,17 @@
             return None
         chosen = min(rank_agents(key, usable)[:CANDIDATES], key=_load)
         chosen.count_send()
+        if self._counters is not None and self._is_evacuated(chosen):
+            # Shows a fault of this class, whatever the choice depends on.
+            self._counters.add('flow_placed_evacuated')
         return chosen
 
+    def _is_evacuated(self, node: KnownNode) -> bool:
+        evacuations = self._evacuations
+        return evacuations is not None and (
+            node.record.site in evacuations.sites
+        )
+
 
 def _without_failing(agents: list[KnownNode]) -> list[KnownNode]:
     """Excludes agents with failing targets, unless there are too many."""
--- a/anvilthread/flows/introducer.py
+++ b/anvilthread/flows/introducer.py
@@ -28,7 +28,7 @@
         random: Source of the choice of peers.
         network: Sends the messages.
         roster: This node and its peers.
-        routes: Its version is part of every hello.
+        routes: Its version and evacuated sites are part of every hello.
         store_era: Part of every hello, and learned from those of peers.
     """
 
@@ -89,6 +89,10 @@
     def on_hello(self, host: str, message: Hello) -> None:
         """Records the sender, and sends it the list of peers if it asks."""
         self._store_era.observe(message.store_era, host)
+        if message.evacuation is not None:
+            self._routes.evacuations.update(
+                message.evacuation, f'peer:{host}', message.evacuation_age_ms
+            )
         before = self._roster.get(host)
         self._roster.record_sender(message.node)
         is_new = before is None or before.record != message.node
@@ -177,10 +181,14 @@
         )
 
     def _make_hello(self, *, wants_peers: bool) -> Hello:
+        evacuations = self._routes.evacuations
+        view = evacuations.view
         return Hello(
             node=self._roster.local_node,
             version=self._routes.table.version,
             check_age_ms=self._routes.check_age_ms,
             wants_peers=wants_peers,
             store_era=self._store_era.number,
+            evacuation=view if view is not None and view.fits_hello else None,
+            evacuation_age_ms=evacuations.age_ms,
         )
--- a/anvilthread/flows/node_messages.py
+++ b/anvilthread/flows/node_messages.py
@@ -1,5 +1,6 @@
 """Messages about the state and discovery of nodes."""
 
+from anvilthread.flows.evacuation_view import EvacuationView
 from anvilthread.flows.message import Message
 from anvilthread.flows.node_record import NodeRecord
 
@@ -61,6 +62,9 @@
         check_age_ms: As in :class:`LoadReport`.
         wants_peers: Whether the receiver should answer with :class:`Peers`.
         store_era: Highest era of the store that the sender knows.
+        evacuation: The evacuated sites; None if the sender does not know
+            them, or there are too many for one datagram.
+        evacuation_age_ms: Time since the store held that view; -1 if unknown.
     """
 
     node: NodeRecord
@@ -68,6 +72,8 @@
     check_age_ms: int
     wants_peers: bool
     store_era: int = 0
+    evacuation: EvacuationView | None = None
+    evacuation_age_ms: int = -1
 
 
 class Peers(Message, frozen=True, tag=11):
--- a/anvilthread/flows/roster.py
+++ b/anvilthread/flows/roster.py
@@ -58,6 +58,12 @@
         """All peers, in no particular order."""
         return list(self._nodes.values())
 
+    @property
+    def sites(self) -> set[str]:
+        """Sites of this node and of all peers."""
+        sites = {node.record.site for node in self._nodes.values()}
+        return sites | {self._local_node.site}
+
     @property
     def is_alone(self) -> bool:
         """Whether no message from a peer of the other role has arrived.
--- a/anvilthread/flows/route_holder.py
+++ b/anvilthread/flows/route_holder.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from anvilthread.clock import Clock
+from anvilthread.flows.evacuation_holder import EvacuationHolder
 from anvilthread.flows.route_table import RouteTable
 from anvilthread.telemetry.log import Log
 
@@ -18,41 +19,61 @@
     Args:
         clock: Clock for the age of the last check.
         log: Receives each change of the version.
+        evacuations: Evacuated sites. Until they are known, no configuration
+            is in force, so that no flow reaches an evacuated site. None where
+            sites are not evacuated.
     """
 
     __slots__ = (
         '_checked_at_ms',
         '_clock',
         '_differing_document',
+        '_empty_table',
+        '_evacuations',
         '_log',
         '_table',
     )
 
-    def __init__(self, *, clock: Clock, log: Log) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        log: Log,
+        evacuations: EvacuationHolder | None = None,
+    ) -> None:
         self._clock = clock
         self._log = log
-        self._table = RouteTable(
+        self._evacuations = evacuations or EvacuationHolder(
+            clock=clock, log=log, is_enabled=False
+        )
+        self._empty_table = RouteTable(
             version=0, routes={}, idle_ms=_DEFAULT_IDLE_MS, document=b''
         )
+        self._table = self._empty_table
         self._checked_at_ms: int | None = None
         self._differing_document = b''
 
     @property
     def table(self) -> RouteTable:
         """The version in force."""
-        return self._table
+        return self._table if self._evacuations.is_known else self._empty_table
+
+    @property
+    def evacuations(self) -> EvacuationHolder:
+        """The evacuated sites."""
+        return self._evacuations
 
     @property
     def is_loaded(self) -> bool:
         """Whether any version is known."""
-        return self._table.version > 0
+        return self.table.version > 0
 
     @property
     def check_age_ms(self) -> int:
         """Age in ms of the last check of the version with the store; -1 if
         there was none.
         """
-        if self._checked_at_ms is None:
+        if self._checked_at_ms is None or not self._evacuations.is_known:
             return _NEVER_CHECKED
         return self._clock.now_ms() - self._checked_at_ms
 
--- a/tests/flows/test_configuration_follower.py
+++ b/tests/flows/test_configuration_follower.py
@@ -8,14 +8,15 @@
 
 from anvilthread.clock import ManualClock
 from anvilthread.flows.configuration_follower import ConfigurationFollower
+from anvilthread.flows.evacuation_view import EvacuationView
 from anvilthread.flows.introducer import Introducer
 from anvilthread.flows.messages import AnyMessage
 from anvilthread.flows.node_messages import Hello
 from anvilthread.flows.node_record import NodeRecord, NodeRole
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
-from anvilthread.flows.route_table import RouteTable
 from anvilthread.flows.store_era import StoreEra
+from anvilthread.flows.store_reading import StoreReading
 from anvilthread.store import StoreError, StoreUnavailable
 from anvilthread.telemetry.memory_log import MemoryLog
 from standins.flow_cluster import SERVICE, route_table
@@ -31,17 +32,24 @@
         self.is_up = True
         self.peer_version = 0
         self.reads = 0
+        self.evacuation: EvacuationView | None = None
+        self.peer_evacuation: EvacuationView | None = None
 
-    def read(self) -> Result[RouteTable, StoreError]:
+    def read(self) -> Result[StoreReading, StoreError]:
         self.reads += 1
         if not self.is_up:
             return Err(StoreUnavailable(reason='down'))
-        return Ok(route_table(self.version, {80: SERVICE}))
+        return Ok(_reading(self.version, self.evacuation))
 
-    def read_from(self, _host: str) -> Result[RouteTable, StoreError]:
+    def read_from(self, _host: str) -> Result[StoreReading, StoreError]:
         if not self.peer_version:
             return Err(StoreUnavailable(reason='gone'))
-        return Ok(route_table(self.peer_version, {80: SERVICE}))
+        return Ok(_reading(self.peer_version, self.peer_evacuation))
+
+
+def _reading(version: int, evacuation: EvacuationView | None) -> StoreReading:
+    table = route_table(version, {80: SERVICE})
+    return StoreReading(configuration=Ok(table), evacuation=evacuation)
 
 
 class _Network:
--- a/tests/flows/test_store_era.py
+++ b/tests/flows/test_store_era.py
@@ -6,7 +6,7 @@
 from anvilthread.flows.message_codec import decode_message, encode_message
 from anvilthread.flows.node_messages import Hello
 from anvilthread.flows.node_record import NodeRecord, NodeRole
-from anvilthread.flows.store_era import StoreEra
+from anvilthread.flows.store_era import UNKNOWN_ERA, StoreEra
 from anvilthread.telemetry.memory_log import MemoryLog
 from standins.flow_cluster import FlowCluster
 
@@ -58,14 +58,21 @@
         assert node.store_era.number == 4
 
 
-def test_hello_of_an_earlier_release() -> None:
+@pytest.mark.parametrize(
+    ('missing', 'era'), [(0, 7), (1, 7), (2, 7), (3, UNKNOWN_ERA)]
+)
+def test_hello_of_an_earlier_release(missing: int, era: int) -> None:
     """Guards against hellos that nodes reject during a rolling upgrade."""
     node = NodeRecord('10.0.0.1', NodeRole.AGENT, 'site-a', 'bookings', 1)
     hello = Hello(node, 5, 40, wants_peers=True, store_era=7)
     content = encode_message(hello)
     assert decode_message(content) == hello
-    # The era is the last element of the array.
-    earlier = bytes([content[0] - 1]) + content[1:-1]
+    # The era and the view with its age are the last elements of the array, of
+    # one byte each.
+    earlier = bytes([content[0] - missing])
+    earlier += content[1 : len(content) - missing]
     decoded = decode_message(earlier)
     assert isinstance(decoded, Hello)
-    assert decoded.store_era == 0
+    assert decoded.store_era == era
+    assert decoded.evacuation is None
+    assert decoded.evacuation_age_ms == -1
