Test evacuations, and fix the start of the flow processes

The process that was meant to stay as it was failed with AttributeError.

Cause: FlowProcess.settings became a property of SettingsWatch, which is created after the roster.

Change: the node record is built from the argument.

--- a/anvilthread/flow_node/flow_process.py
+++ b/anvilthread/flow_node/flow_process.py
@@ -105,7 +105,11 @@
             target=settings.target_address,
         )
         self.roster = Roster(
-            clock=self.clock, local_node=self._build_node_record(), log=self.log
+            clock=self.clock,
+            local_node=_build_node_record(
+                settings, self.random.getrandbits(_INCARNATION_BITS)
+            ),
+            log=self.log,
         )
         self.routes = RouteHolder(
             clock=self.clock,
@@ -278,12 +282,14 @@
     def _check_sites(self) -> None:
         self.routes.evacuations.tick(lambda: self.roster.sites)
 
-    def _build_node_record(self) -> NodeRecord:
-        settings = self.settings
-        return NodeRecord(
-            host=settings.host,
-            role=settings.role,
-            site=settings.site,
-            service=settings.service,
-            incarnation=self.random.getrandbits(_INCARNATION_BITS),
-        )
+
+def _build_node_record(
+    settings: FlowNodeSettings, incarnation: int
+) -> NodeRecord:
+    return NodeRecord(
+        host=settings.host,
+        role=settings.role,
+        site=settings.site,
+        service=settings.service,
+        incarnation=incarnation,
+    )
--- a/standins/flow_cluster.py
+++ b/standins/flow_cluster.py
@@ -8,6 +8,8 @@
 from typing import Any
 
 from anvilthread.clock import ManualClock
+from anvilthread.flows.evacuation_holder import EvacuationHolder
+from anvilthread.flows.evacuation_view import EvacuationView
 from anvilthread.flows.fleet_view import FleetView
 from anvilthread.flows.flow_agent import FlowAgent
 from anvilthread.flows.flow_balancer import FlowBalancer
@@ -88,6 +90,8 @@
     ) -> None:
         self.record = record
         self.is_up = True
+        #: Types of the messages to this node that are lost.
+        self.lost: tuple[type, ...] = ()
         self.log = MemoryLog()
         self.counters = FlowCounters()
         self._cluster = cluster
@@ -96,7 +100,12 @@
             clock=cluster.clock, local_node=record, log=self.log
         )
         self.roster.subscribe(self._send_report)
-        self.routes = RouteHolder(clock=cluster.clock, log=self.log)
+        self.evacuations = EvacuationHolder(
+            clock=cluster.clock, log=self.log, is_enabled=cluster.evacuates
+        )
+        self.routes = RouteHolder(
+            clock=cluster.clock, log=self.log, evacuations=self.evacuations
+        )
         self.store_era = StoreEra(log=self.log)
         self.introducer = Introducer(
             clock=cluster.clock,
@@ -121,6 +130,7 @@
         )
         self._handlers: MessageHandlers = {}
         self._build_role()
+        self.evacuations.subscribe(self._send_reports)
 
     def send_to_node(self, host: str, message: AnyMessage) -> None:
         """Sends a message to another node."""
@@ -145,6 +155,8 @@
         if not self.is_up:
             return
         message = decode_message(content)
+        if isinstance(message, self.lost):
+            return
         if not self._peers.handle(host, message):
             self._handlers[type(message)](host, message)
 
@@ -184,6 +196,7 @@
             self.agent.tick()
         if self._now() % HELLO_INTERVAL_MS == 0:
             self.introducer.tick()
+            self.evacuations.tick(lambda: self.roster.sites)
             self._send_reports()
 
     def _build_role(self) -> None:
@@ -203,7 +216,12 @@
             return
         clock = self._cluster.clock
         self.balancer = FlowBalancer(
-            placement=FlowPlacement(clock=clock, roster=self.roster),
+            placement=FlowPlacement(
+                clock=clock,
+                roster=self.roster,
+                evacuations=self.evacuations,
+                counters=self.counters,
+            ),
             fleet=FleetView(clock=clock, roster=self.roster),
             **parts,
         )
@@ -246,11 +264,29 @@
         balancers: Number of balancers.
         agents: Number of agents with a target of :data:`SERVICE`.
         seed: Seed of every random choice.
+        sites: Sites over which the agents are spread in turn.
+        evacuates: Whether sites are evacuated; if so, every node starts with
+            a view in which none is.
     """
 
-    def __init__(self, *, balancers: int, agents: int, seed: int = 1) -> None:
+    def __init__(
+        self,
+        *,
+        balancers: int,
+        agents: int,
+        seed: int = 1,
+        sites: tuple[str, ...] = ('site-a',),
+        evacuates: bool = False,
+    ) -> None:
         self.clock = ManualClock(start_ms=1000)
         self.random = Random(seed)
+        self.sites = sites
+        self.evacuates = evacuates
+        #: View with which nodes start; None if they start without one.
+        self.view: EvacuationView | None = EvacuationView(
+            era=1, revision=1, sites=()
+        )
+        self._revisions = itertools.count(2)
         self.table = route_table(1, {SERVICE_PORT: SERVICE})
         #: Time and content of every packet sent to a client.
         self.received: list[tuple[int, PlainPacket]] = []
@@ -397,16 +433,36 @@
             node.routes.update(table, 'test')
             node.routes.confirm(0)
 
+    def evacuate(
+        self, *sites: str, era: int = 1, at: list[FlowNode] | None = None
+    ) -> None:
+        """Replaces the evacuated sites in the store, which some nodes read.
+
+        Args:
+            sites: All evacuated sites.
+            era: Era of the store.
+            at: Nodes that read them now, and send hellos; all if None.
+        """
+        view = EvacuationView(
+            era=era, revision=next(self._revisions), sites=sites
+        )
+        self.view = view
+        for node in list(self.nodes.values()) if at is None else at:
+            node.evacuations.update(view, 'test', 0)
+            node.introducer.announce()
+
     def _add(self, host: str, role: NodeRole, service: str) -> FlowNode:
         record = NodeRecord(
             host=host,
             role=role,
-            site='site-a',
+            site=self.sites[(int(host.split('.')[3]) - 1) % len(self.sites)],
             service=service,
             incarnation=next(self._incarnations),
         )
         contacts = ['10.0.0.1', '10.0.0.2']
         node = FlowNode(cluster=self, record=record, contacts=contacts)
+        if self.view is not None:
+            node.evacuations.update(self.view, 'test', 0)
         node.routes.update(self.table, 'test')
         node.routes.confirm(0)
         self.nodes[host] = node
--- a/standins/metadata_server.py
+++ b/standins/metadata_server.py
@@ -1,6 +1,7 @@
 """The platform's metadata store over HTTP, with faults."""
 
 import base64
+from collections import Counter
 from collections.abc import Callable, Iterable
 from random import Random
 from typing import Any, Final
@@ -15,6 +16,8 @@
 
 _TTL_MS: Final = 3000
 
+_PAGE_ITEMS: Final = 500
+
 _StartResponse = Callable[[str, list[tuple[str, str]]], object]
 _Answer = tuple[str, dict[str, object]]
 
@@ -65,6 +68,10 @@
         #: ``up``, ``silent``, ``busy``, ``lost`` (half of the answers) or
         #: ``slow``.
         self.mode = 'up'
+        #: Items on one page of a range.
+        self.page_size = _PAGE_ITEMS
+        #: Number of calls by path.
+        self.calls: Counter[str] = Counter()
         #: Hosts that get status 503 while others are served.
         self.refused: set[str] = set()
 
@@ -87,6 +94,11 @@
         self._items[key] = StoredItem(value=value, revision=self._revision)
         return self._revision
 
+    def remove(self, key: str) -> None:
+        """Removes a key as the operator does."""
+        self._revision += 1
+        self._items.pop(key, None)
+
     def keys(self, prefix: str) -> list[str]:
         """Lists the keys with a prefix."""
         return sorted(key for key in self._items if key.startswith(prefix))
@@ -134,10 +146,11 @@
     def _answer(self, environment: dict[str, Any], body: bytes) -> _Answer:
         query = parse_qs(environment['QUERY_STRING'])
         path = environment['PATH_INFO']
+        self.calls[path] += 1
         if path == '/kv-key':
             return self._get(query['key'][0])
         if path == '/kv-range':
-            return self._range(query['prefix'][0])
+            return self._range(query['prefix'][0], query.get('after', [''])[0])
         if path == '/kv-txn':
             return self._commit(msgspec.json.decode(body))
         if path == '/kv-watch':
@@ -149,10 +162,12 @@
             return _NOT_FOUND, {'at': self._revision}
         return _OK, {**self._item(key), 'at': self._revision}
 
-    def _range(self, prefix: str) -> _Answer:
+    def _range(self, prefix: str, after: str) -> _Answer:
+        keys = [key for key in self.keys(prefix) if key > after]
+        page = keys[: self.page_size]
         return _OK, {
-            'items': [self._item(key) for key in self.keys(prefix)],
-            'has_more': False,
+            'items': [self._item(key) for key in page],
+            'has_more': len(page) < len(keys),
             'at': self._revision,
         }
 
