Evacuate sites in the soak of flows

Callers: python -m soak reports the invariant no_flow_at_evacuated_site.

Reason: the soak has to check evacuation with the real programs while the store fails, is restored, and processes are killed.

Change: the programs get evacuation_ms in their settings, and the VMs are spread over three sites. The operator evacuates a site for 6 to 12 s. The limit counts anew for a request that perhaps no node could read before a fault of the store. The mutant ignore_evacuations is noticed. The mutants reset_moved_flows and serve_nobody had no effect since placement moved to FlowOpener, so their tests failed on as well; they patch the moved methods now.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -14,6 +14,7 @@
 import gevent
 import msgspec
 
+from soak.evacuations import EVACUATION_LIMIT_MS, Evacuations
 from soak.invariant_checker import InvariantChecker
 from standins.free_port import free_port
 from standins.metadata_server import MetadataServer
@@ -23,6 +24,7 @@
 
 ROOT: Final = Path(__file__).resolve().parent.parent
 SERVICES: Final = ('bookings', 'statements')
+SITES: Final = ('site-a', 'site-b', 'site-c')
 
 #: Service of each permanent route, by port, and the port of a temporary route.
 ROUTES: Final = {443: 'bookings', 8443: 'statements'}
@@ -77,8 +79,13 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self._version = 0
         self._document = b''
+        self.evacuations = Evacuations(
+            store=self.store, find_hosts=self._hosts_of_site
+        )
         self.checker = InvariantChecker(
-            find_holder=self._find_holder, permanent_ports=ROUTES
+            find_holder=self._find_holder,
+            permanent_ports=ROUTES,
+            is_evacuated=self.evacuations.is_in_force,
         )
         self._directory = tempfile.TemporaryDirectory(
             prefix='anvilthread-soak-'
@@ -155,8 +162,16 @@
         self.write_configuration()
 
     def write_configuration(self) -> None:
-        """Writes the latest configuration to the store, again if it was lost."""
+        """Writes what the operator has written, again if it was lost."""
         self.store.write('op/config', self._document)
+        self.evacuations.write()
+
+    def site_of(self, host: str) -> str:
+        """Returns the site of a VM; each has targets of every service."""
+        index = int(host.split('.')[3]) - 1
+        if host in self.services:
+            index //= len(SERVICES)
+        return SITES[index % len(SITES)]
 
     def start_process(self, host: str) -> None:
         """Starts the process of a VM."""
@@ -224,7 +239,7 @@
         lines = [
             f'node_name = "{host}"',
             f'ip = "{host}"',
-            'zone = "site-a"',
+            f'zone = "{self.site_of(host)}"',
             f'serves = ["{"side" if is_agent else "edge"}"]',
             f'internal_port_range = [{self._node_port}, {self._node_port + 9}]',
             f'heartbeat_interval_ms = {_HEARTBEAT_INTERVAL_MS}',
@@ -236,6 +251,8 @@
                 f'service = "{self.services[host]}"',
             ]
         lines += [
+            '[bounds]',
+            f'evacuation_ms = {EVACUATION_LIMIT_MS}',
             '[bind_addresses]',
             f'datagram_endpoint = "{host}:{ports["data"]}"',
             f'readiness = "{host}:{ports["ready"]}"',
@@ -254,6 +271,9 @@
         destination = tempfile.mkdtemp(prefix=f'soak-{self._seed}-', dir=runs)
         shutil.copytree(self._directory.name, destination, dirs_exist_ok=True)
 
+    def _hosts_of_site(self, site: str) -> list[str]:
+        return [host for host in self.services if self.site_of(host) == site]
+
     def _find_holder(self, client: tuple[str, int]) -> PlatformTarget | None:
         for target in self.targets.values():
             if target.holds(client):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,6 +19,12 @@
 #: retransmission intervals of clients and targets.
 _LINK_FAULT_S: Final = 2.0
 
+#: Longest time for which a fault of the store lasts.
+_MAX_STORE_FAULT_S: Final = 3.0
+
+#: Time for which a site is evacuated: the limit of 5 s and some seconds more.
+_EVACUATION_S: Final = (6.0, 12.0)
+
 
 class Faults:
     """Injects random faults and counts them by name.
@@ -43,6 +49,7 @@
             self.lose_answers,
             self.restore_store,
             self.refuse_nodes,
+            self.evacuate_site,
         )
         self.unplanned = (
             self.kill_balancer,
@@ -151,16 +158,34 @@
         copy = cluster.store.save_copy()
         gevent.sleep(self._random.uniform(0.2, 4.0))
         cluster.store.mode = 'silent'
-        gevent.sleep(self._random.uniform(0.1, 1.5))
+        pause_s = self._random.uniform(0.1, 1.5)
+        cluster.evacuations.delay(pause_s)
+        gevent.sleep(pause_s)
         cluster.store.restore_copy(copy)
         cluster.store.mode = 'up'
         gevent.sleep(self._random.choice((0, 0, 0.6)))
         removal_times_s = cluster.checker.route_removed_s
         cluster.write_configuration()
+        # A request of the last seconds may have been lost unread.
+        cluster.evacuations.delay(0)
         if EXTRA_PORT in removal_times_s:
             # The removal may have been lost before any node had read it.
             removal_times_s[EXTRA_PORT] = time.monotonic()
 
+    def evacuate_site(self) -> None:
+        """Evacuates a site for longer than the limit, and takes it back."""
+        cluster = self._cluster
+        # The other sites must be able to serve.
+        if cluster.evacuations.sites:
+            return
+        hosts = list(cluster.services)
+        site = cluster.site_of(self._random.choice(hosts))
+        cluster.evacuations.start(site)
+        if cluster.store.mode != 'up':
+            cluster.evacuations.delay(_MAX_STORE_FAULT_S)
+        gevent.sleep(self._random.uniform(*_EVACUATION_S))
+        cluster.evacuations.end(site)
+
     def refuse_nodes(self) -> None:
         """Makes the store reject the calls of two nodes."""
         store = self._cluster.store
@@ -276,6 +301,8 @@
     def _set_store(self, mode: str) -> None:
         store = self._cluster.store
         self._cluster.checker.route_removed_s.clear()
+        pause_s = self._random.uniform(0.5, 3.0)
+        self._cluster.evacuations.delay(pause_s)
         store.mode = mode
-        gevent.sleep(self._random.uniform(0.5, 3.0))
+        gevent.sleep(pause_s)
         store.mode = 'up'
--- a/soak/invariant_checker.py
+++ b/soak/invariant_checker.py
@@ -34,6 +34,7 @@
     'runs_only_what_was_asked',
     'runs_at_most_once',
     'no_work_after_drain',
+    'no_flow_at_evacuated_site',
     'configuration_never_reverts',
     'live_flow_is_not_reset',
     'packets_unchanged',
@@ -49,6 +50,7 @@
             address and port.
         permanent_ports: Ports of the routes that are never removed; a flow
             whose route is removed may be reset.
+        is_evacuated: Whether the target on a host must get no new flow.
     """
 
     def __init__(
@@ -56,9 +58,11 @@
         *,
         find_holder: Callable[[tuple[str, int]], PlatformTarget | None],
         permanent_ports: Container[int],
+        is_evacuated: Callable[[str], bool],
     ) -> None:
         self._find_holder = find_holder
         self._permanent_ports = permanent_ports
+        self._is_evacuated = is_evacuated
         self._services_by_request: dict[str, str] = {}
         self._run_counts: Counter[str] = Counter()
         self.checked: Counter[str] = Counter()
@@ -120,6 +124,9 @@
         drained_s = target.drained_s
         if drained_s and time.monotonic() - drained_s > _DRAIN_GRACE_S:
             self.record_violation('no_work_after_drain', target.name)
+        self.checked['no_flow_at_evacuated_site'] += 1
+        if self._is_evacuated(target.host):
+            self.record_violation('no_flow_at_evacuated_site', target.name)
 
     def on_reset(self, flow: ClientFlow) -> None:
         """A client was sent a reset of an open flow."""
--- a/tests/soak/mutant.py
+++ b/tests/soak/mutant.py
@@ -11,8 +11,10 @@
 import main
 from packet_codec import PacketCodec
 
+from anvilthread.flows.evacuation_holder import EvacuationHolder
 from anvilthread.flows.flow_agent import FlowAgent
 from anvilthread.flows.flow_balancer import FlowBalancer
+from anvilthread.flows.flow_opener import FlowOpener
 from anvilthread.flows.holder_search import HolderSearch
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
@@ -58,7 +60,9 @@
     """Resets a flow that its balancer does not know, instead of searching."""
 
     def search_holder(self, packet, denied_by=''):
-        self._reset(packet.key, packet.acknowledged, 'mutant')  # noqa: SLF001
+        self._resets.send(  # noqa: SLF001
+            packet.key, packet.acknowledged, 'mutant'
+        )
 
     FlowBalancer._search_holder = search_holder  # noqa: SLF001
 
@@ -75,10 +79,15 @@
     PacketCodec.from_client = alter
 
 
+def ignore_evacuations() -> None:
+    """Never excludes a site."""
+    EvacuationHolder.sites = property(lambda self: frozenset())
+
+
 def serve_nobody() -> None:
     """Neither places a flow nor searches for its holder."""
     HolderSearch.start = lambda *_args, **_named: None
-    FlowBalancer._place = lambda self, flow: False  # noqa: SLF001
+    FlowOpener._place = lambda self, flow: False  # noqa: SLF001
 
 
 MUTANTS = {
@@ -89,6 +98,7 @@
         mix_services,
         reset_moved_flows,
         alter_packets,
+        ignore_evacuations,
         serve_nobody,
     )
 }
--- a/tests/soak/test_invariant_checker.py
+++ b/tests/soak/test_invariant_checker.py
@@ -10,6 +10,7 @@
 
 class _Target:
     name = 'i-1'
+    host = '127.0.0.9'
     drained_s = 1.0
 
 
@@ -17,6 +18,7 @@
     return InvariantChecker(
         find_holder=lambda _: _Target(),  # type: ignore[arg-type, return-value]
         permanent_ports=(443,),
+        is_evacuated=lambda host: host == _Target.host,
     )
 
 
@@ -65,6 +67,7 @@
         ),
         (_run_twice, 'runs_at_most_once'),
         (lambda it: it.on_opening(_Target()), 'no_work_after_drain'),
+        (lambda it: it.on_opening(_Target()), 'no_flow_at_evacuated_site'),
         (_open_on_removed_route, 'configuration_never_reverts'),
         (lambda it: it.on_reset(_flow()), 'live_flow_is_not_reset'),
         (lambda it: it.on_altered_packet('i-1'), 'packets_unchanged'),
--- a/tests/soak/test_mutants.py
+++ b/tests/soak/test_mutants.py
@@ -17,6 +17,7 @@
 _DRAIN_FAULTS = ('drain_target', 'drain_target')
 _ROUTE_FAULTS = ('remove_route',)
 _RESTART_FAULTS = ('restart_balancer',)
+_EVACUATION_FAULTS = ('evacuate_site',)
 
 
 class _ScriptedFaults:
@@ -76,6 +77,11 @@
         ('mix_services', _DRAIN_FAULTS, 'runs_only_what_was_asked'),
         ('reset_moved_flows', _RESTART_FAULTS, 'live_flow_is_not_reset'),
         ('alter_packets', _DRAIN_FAULTS, 'packets_unchanged'),
+        (
+            'ignore_evacuations',
+            _EVACUATION_FAULTS,
+            'no_flow_at_evacuated_site',
+        ),
         ('serve_nobody', (), 'serves_after_recovery'),
     ],
 )
@@ -88,7 +94,8 @@
 
 
 @pytest.mark.parametrize(
-    'names', [_DRAIN_FAULTS, _ROUTE_FAULTS, _RESTART_FAULTS]
+    'names',
+    [_DRAIN_FAULTS, _ROUTE_FAULTS, _RESTART_FAULTS, _EVACUATION_FAULTS],
 )
 def test_real_program_violates_no_invariant(names: tuple[str, ...]) -> None:
     """Guards against a check that fails on the unchanged program."""
