--- a/anvilthread/flow_node/agent_process.py
+++ b/anvilthread/flow_node/agent_process.py
@@ -49,6 +49,7 @@
         '_codec',
         '_target',
         '_was_ejected',
+        '_was_evacuated',
         'process',
     )
 
@@ -77,6 +78,8 @@
             counters=process.counters,
         )
         self._was_ejected = False
+        self._was_evacuated = False
+        process.routes.evacuations.subscribe(self._on_evacuation)
 
     def _report_to_new_balancer(self, node: KnownNode) -> None:
         """Sends a balancer that has just started the target's state at once."""
@@ -188,6 +191,13 @@
             self._was_ejected = is_ejected
             self._report_to_all_balancers()
 
+    def _on_evacuation(self) -> None:
+        """Reports at once if the site of this agent is affected."""
+        is_evacuated = self._agent.condition.is_evacuated
+        if is_evacuated != self._was_evacuated:
+            self._was_evacuated = is_evacuated
+            self._report_to_all_balancers()
+
     def _report_to_balancers(self) -> None:
         process = self.process
         while True:
--- a/tests/soak/mutant.py
+++ b/tests/soak/mutant.py
@@ -11,6 +11,7 @@
 import main
 from packet_codec import PacketCodec
 
+from anvilthread.flows.evacuation_holder import EvacuationHolder
 from anvilthread.flows.flow_agent import FlowAgent
 from anvilthread.flows.flow_balancer import FlowBalancer
 from anvilthread.flows.flow_opener import FlowOpener
@@ -77,6 +78,11 @@
     PacketCodec.from_client = alter
 
 
+def ignore_evacuations() -> None:
+    """Never excludes a site."""
+    EvacuationHolder.sites = property(lambda self: frozenset())
+
+
 def serve_nobody() -> None:
     """Neither places a flow nor searches for its holder."""
     HolderSearch.start = lambda *_args, **_named: None
@@ -91,6 +97,7 @@
         mix_services,
         reset_moved_flows,
         alter_packets,
+        ignore_evacuations,
         serve_nobody,
     )
 }
