--- a/anvilthread/flows/pace_limit.py
+++ b/anvilthread/flows/pace_limit.py
@@ -25,8 +25,9 @@
     The limit starts at the number of slots, grows by one with as many quick
     answers as the limit, and is halved if the target is full, if a request
     fails, or if the target takes more than twice its undisturbed time. Another
-    failure before that many quick answers sets it to 1, which it is thereby
-    after an ejection, too.
+    failure before that many quick answers sets it to 1; so it is 1 after an
+    ejection. Halves are rounded up: with a limit of 1, the slot is idle until
+    the next request has come from its client.
 
     Args:
         clock: Source of time.
@@ -119,6 +120,6 @@
             self._limit = limit + 1
 
     def _halve(self) -> None:
-        self._limit = max(self.limit // 2, 1)
+        self._limit = (self.limit + 1) // 2
         self._quick_answers = 0
         self._service_time.forget_latest()
