Report entries without effect in `config check`

Operators saw "valid" for files whose entries do nothing: an overlay for a service that its site does not carry, a pattern behind a wider one, a latency objective above the deadline. To see what differs from the store they needed a second command, which has no JSON.

It exits with 1 for findings or invalid files as before, and with 2 (so far 1) if the directory cannot be read.

--- a/anvilthread/commands/config_commands.py
+++ b/anvilthread/commands/config_commands.py
@@ -10,6 +10,7 @@
 
 from anvilthread.address import Address
 from anvilthread.commands import components
+from anvilthread.commands.check_report import CheckReport
 from anvilthread.commands.command_failure import CommandFailure, require
 from anvilthread.commands.configuration_gateway import RevisionSummary
 from anvilthread.commands.exit_code import ExitCode
@@ -25,6 +26,7 @@
     ApplyUnavailable,
     ApplyUnknown,
 )
+from anvilthread.daemon.local_configuration import ConfigurationFilesError
 from anvilthread.error import AnvilthreadError
 from anvilthread.operation import OperationClient
 from anvilthread.store import StoreUnavailable
@@ -74,6 +76,17 @@
     ),
 ]
 
+#: Without the environment variable: a check needs no store unless asked to.
+CheckStoreOption: TypeAlias = Annotated[
+    str,
+    typer.Option(
+        '--store',
+        metavar='URL',
+        help='URL of the key-value store to compare with.',
+        show_default=False,
+    ),
+]
+
 SupersedeOption: TypeAlias = Annotated[
     bool,
     typer.Option(
@@ -88,9 +101,13 @@
 _UNANSWERED: Final = (ApplyUnavailable, ApplyUnknown, StoreUnavailable)
 _CHECK_HELP: Final = """Check configuration files; needs no store.
 
+Also reports entries that can never match and limits that contradict each
+other (exit code 1). With --store, lists what differs from the version there.
+
 \b
 Examples:
   anvilthread config check configuration
+  anvilthread config check configuration --store http://10.1.0.5:8500 --json
 """
 _APPLY_HELP: Final = """Check configuration files and apply them everywhere.
 
@@ -124,14 +141,31 @@
 
 
 @config_app.command('check', help=_CHECK_HELP)
-def check(directory: DirectoryArgument, *, as_json: JsonOption = False) -> None:
-    """Checks files and lists the sites with an overlay."""
-    gateway = components.open_configuration('')
-    sites = require(gateway.check(directory), ExitCode.PROBLEM_FOUND)
+def check(
+    directory: DirectoryArgument,
+    *,
+    store: CheckStoreOption = '',
+    as_json: JsonOption = False,
+) -> None:
+    """Checks files, lists the sites, and reports what has no effect."""
+    gateway = components.open_configuration(store)
+    outcome = gateway.check(directory)
+    report = CheckReport(
+        directory=str(directory),
+        sites=require(outcome, _check_exit_code(outcome)),
+        findings=require(gateway.review(directory), ExitCode.USAGE),
+        changes=(
+            require(gateway.pending_changes(directory), ExitCode.NO_ANSWER)
+            if store
+            else None
+        ),
+    )
     if as_json:
-        print_json({'valid': True, 'sites': sites})
+        print_json(report.as_json())
     else:
-        typer.echo(f'{directory}: valid for {", ".join(sites)}')
+        typer.echo('\n'.join(report.lines()))
+    if report.findings:
+        raise typer.Exit(ExitCode.PROBLEM_FOUND)
 
 
 @config_app.command('apply', help=_APPLY_HELP)
@@ -205,6 +239,12 @@
         )
 
 
+def _check_exit_code(outcome: Result[object, AnvilthreadError]) -> ExitCode:
+    if isinstance(outcome.err(), ConfigurationFilesError):
+        return ExitCode.USAGE
+    return ExitCode.PROBLEM_FOUND
+
+
 def _apply_exit_code(outcome: Result[object, AnvilthreadError]) -> ExitCode:
     # A change whose answer was lost may be in force, so it was not refused.
     if isinstance(outcome.err(), _UNANSWERED):
--- a/anvilthread/commands/configuration_gateway.py
+++ b/anvilthread/commands/configuration_gateway.py
@@ -7,7 +7,9 @@
 from msgspec import Struct
 from result import Result
 
+from anvilthread.configuration.key_change import KeyChange
 from anvilthread.error import AnvilthreadError
+from anvilthread.file_fault import FileFault
 
 
 class RevisionSummary(Struct, frozen=True, kw_only=True):
@@ -26,6 +28,18 @@
     wall_ms: int
 
 
+class PendingChanges(Struct, frozen=True, kw_only=True):
+    """What an apply would change.
+
+    Attributes:
+        revision: Revision in the store; 0 if there is none.
+        keys: The keys whose values differ.
+    """
+
+    revision: int
+    keys: Sequence[KeyChange]
+
+
 class ConfigurationGateway(Protocol):
     """Access to configuration files and to the record in the store."""
 
@@ -36,6 +50,16 @@
             Names of the sites, or an error with every fault.
         """
 
+    def review(
+        self, directory: Path
+    ) -> Result[Sequence[FileFault], AnvilthreadError]:
+        """Entries of valid files that can never match, or contradict."""
+
+    def pending_changes(
+        self, directory: Path
+    ) -> Result[PendingChanges, AnvilthreadError]:
+        """The keys that differ from the version in the store."""
+
     def apply(
         self,
         directory: Path,
--- a/anvilthread/commands/store_gateway.py
+++ b/anvilthread/commands/store_gateway.py
@@ -8,7 +8,10 @@
 from result import Err, Ok, Result
 
 from anvilthread.clock import SystemClock
-from anvilthread.commands.configuration_gateway import RevisionSummary
+from anvilthread.commands.configuration_gateway import (
+    PendingChanges,
+    RevisionSummary,
+)
 from anvilthread.configuration import (
     STORE_KEY,
     Applier,
@@ -18,12 +21,15 @@
     Proposal,
     decode_record,
     diff_texts,
+    list_changes,
     load_configurations,
+    review_texts,
     texts_from_files,
 )
 from anvilthread.configuration.texts import BASE_FILE
 from anvilthread.daemon.local_configuration import read_texts
 from anvilthread.error import AnvilthreadError
+from anvilthread.file_fault import FileFault
 from anvilthread.store.consul_store import ConsulStore
 
 
@@ -58,6 +64,23 @@
             return Err(loaded.err_value)
         return Ok(sorted(loaded.ok_value))
 
+    def review(
+        self, directory: Path
+    ) -> Result[Sequence[FileFault], AnvilthreadError]:
+        """Entries of valid files that can never match, or contradict."""
+        return read_texts(directory).map(review_texts)
+
+    def pending_changes(
+        self, directory: Path
+    ) -> Result[PendingChanges, AnvilthreadError]:
+        """The keys that differ from the version in the store."""
+        pair = self._read_pair(directory)
+        if isinstance(pair, Err):
+            return pair
+        revision, stored, texts = pair.ok_value
+        changes = list_changes(stored, texts)
+        return Ok(PendingChanges(revision=revision, keys=changes))
+
     def apply(
         self,
         directory: Path,
@@ -110,15 +133,11 @@
 
     def diff(self, directory: Path) -> Result[str, AnvilthreadError]:
         """What an apply would change, as a unified diff."""
-        texts = read_texts(directory)
-        if isinstance(texts, Err):
-            return texts
-        record = self._read_record()
-        if isinstance(record, Err):
-            return record
-        stored = record.ok_value
-        before = stored.texts if stored else texts_from_files({BASE_FILE: ''})
-        return Ok(diff_texts(before, texts.ok_value, 'yours'))
+        pair = self._read_pair(directory)
+        if isinstance(pair, Err):
+            return pair
+        _, stored, texts = pair.ok_value
+        return Ok(diff_texts(stored, texts, 'yours'))
 
     def history(self) -> Result[Sequence[RevisionSummary], AnvilthreadError]:
         """The recent revisions, newest first."""
@@ -152,6 +171,24 @@
             )
         )
 
+    def _read_pair(
+        self, directory: Path
+    ) -> Result[
+        tuple[int, ConfigurationTexts, ConfigurationTexts], AnvilthreadError
+    ]:
+        """Returns the revision and files in the store, and those given."""
+        texts = read_texts(directory)
+        if isinstance(texts, Err):
+            return texts
+        record = self._read_record()
+        if isinstance(record, Err):
+            return record
+        stored = record.ok_value
+        if stored is None:
+            empty = texts_from_files({BASE_FILE: ''})
+            return Ok((0, empty, texts.ok_value))
+        return Ok((stored.revision, stored.texts, texts.ok_value))
+
     def _read_record(
         self,
     ) -> Result[ConfigurationRecord | None, AnvilthreadError]:
--- a/anvilthread/configuration/__init__.py
+++ b/anvilthread/configuration/__init__.py
@@ -16,6 +16,7 @@
 from anvilthread.configuration.invalid_configuration import (
     InvalidConfigurationError,
 )
+from anvilthread.configuration.key_change import KeyChange, list_changes
 from anvilthread.configuration.loader import load_configurations, load_site
 from anvilthread.configuration.peers import ConfigurationPeers
 from anvilthread.configuration.proposal import Proposal
@@ -24,6 +25,7 @@
     decode_record,
     encode_record,
 )
+from anvilthread.configuration.review import review_texts
 from anvilthread.configuration.service import Service
 from anvilthread.configuration.texts import (
     ConfigurationTexts,
@@ -47,13 +49,16 @@
     'ConfigurationRecord',
     'ConfigurationTexts',
     'InvalidConfigurationError',
+    'KeyChange',
     'Proposal',
     'Service',
     'decode_record',
     'describe_history',
     'diff_texts',
     'encode_record',
+    'list_changes',
     'load_configurations',
     'load_site',
+    'review_texts',
     'texts_from_files',
 )
