--- a/anvilthread/flows/known_node.py
+++ b/anvilthread/flows/known_node.py
@@ -5,14 +5,12 @@
 
 from anvilthread.flows.node_messages import LoadReport
 from anvilthread.flows.node_record import NodeRecord
+from anvilthread.flows.wait_estimate import COLD_FACTOR, WaitEstimate
 
 #: Requests that one flow placed since the last report counts as. Opening a
 #: flow takes a round trip, after which the report includes its request.
 _SEND_WEIGHT: Final = 0.7
 
-#: Factor by which a cold target is slower, from the site files.
-_COLD_FACTOR: Final = 1.6
-
 #: Report periods without a report after which the last one is stale.
 _STALE_REPORT_PERIODS: Final = 4.5
 
@@ -47,7 +45,6 @@
     """
 
     __slots__ = (
-        '_corrected_wait_ms',
         '_host_hash',
         '_is_leaving',
         '_last_seen_ms',
@@ -57,6 +54,7 @@
         '_returns',
         '_sends',
         '_unanswered_hellos',
+        '_wait',
     )
 
     def __init__(self, *, record: NodeRecord, last_seen_ms: int | None) -> None:
@@ -69,8 +67,7 @@
         self._report: LoadReport | None = None
         self._reported_ms = 0
         self._sends = 0
-        #: Expected wait told since the last report; None if none was.
-        self._corrected_wait_ms: int | None = None
+        self._wait = WaitEstimate()
 
     @property
     def record(self) -> NodeRecord:
@@ -131,9 +128,14 @@
             + _SEND_WEIGHT * self._sends
         )
         if report.cold_ms > 0:
-            requests = (requests + 1) * _COLD_FACTOR
+            requests = (requests + 1) * COLD_FACTOR
         return requests / max(report.slots, 1)
 
+    @property
+    def wait(self) -> WaitEstimate:
+        """Expected wait for a new flow at the peer's target."""
+        return self._wait
+
     def is_fresh(self, now_ms: int) -> bool:
         """Whether the last report is recent; if not, several were lost."""
         report = self._report
@@ -199,7 +201,7 @@
         self._report = report
         self._reported_ms = now_ms
         self._sends = 0
-        self._corrected_wait_ms = None
+        self._wait.update(report)
 
     def correct_wait(self, wait_ms: int) -> None:
         """Replaces the expected wait of the last report.
@@ -207,8 +209,9 @@
         Args:
             wait_ms: Expected wait for a new flow, from a refusal of the peer.
         """
-        self._corrected_wait_ms = wait_ms
+        self._wait.correct(wait_ms)
 
     def count_send(self) -> None:
         """Counts a flow placed on the peer since its last report."""
         self._sends += 1
+        self._wait.count_send()
--- a/anvilthread/flows/roster.py
+++ b/anvilthread/flows/roster.py
@@ -37,7 +37,14 @@
         log: Receives peers that are added, change or are removed.
     """
 
-    __slots__ = ('_clock', '_listeners', '_local_node', '_log', '_nodes')
+    __slots__ = (
+        '_agents_by_service',
+        '_clock',
+        '_listeners',
+        '_local_node',
+        '_log',
+        '_nodes',
+    )
 
     def __init__(
         self, *, clock: Clock, local_node: NodeRecord, log: Log
@@ -47,6 +54,9 @@
         self._log = log
         self._nodes: dict[str, KnownNode] = {}
         self._listeners: list[NodeListener] = []
+        #: Agents of the services asked for since the last change of the nodes,
+        #: since each placement asks.
+        self._agents_by_service: dict[str, list[KnownNode]] = {}
 
     @property
     def local_node(self) -> NodeRecord:
@@ -79,10 +89,16 @@
         return self._nodes.get(host)
 
     def agents(self, service: str) -> list[KnownNode]:
-        """Returns the agents of a service."""
-        return [
-            node for node in self.all_agents() if node.record.service == service
-        ]
+        """Returns the agents of a service; callers must not change the list."""
+        agents = self._agents_by_service.get(service)
+        if agents is None:
+            agents = [
+                node
+                for node in self.all_agents()
+                if node.record.service == service
+            ]
+            self._agents_by_service[service] = agents
+        return agents
 
     def all_agents(self) -> list[KnownNode]:
         """Returns the agents of all services."""
@@ -143,6 +159,7 @@
                 continue
             node = KnownNode(record=record, last_seen_ms=None)
             self._nodes[record.host] = node
+            self._agents_by_service.clear()
             added.append(node)
         return added
 
@@ -151,7 +168,15 @@
         node = self.record_sender(report.node)
         if node is not None:
             before = node.accepts
+            had_faults = node.wait.has_faults
             node.update_report(report, self._clock.now_ms())
+            if node.wait.has_faults and not had_faults:
+                self._log.warning(
+                    'report_time_ignored',
+                    agent=node.host,
+                    run_ms=report.run_ms,
+                    wait_ms=report.wait_ms,
+                )
             if node.accepts != before:
                 self._log.event(
                     'agent_acceptance_changed',
@@ -179,6 +204,7 @@
         for host, node in list(self._nodes.items()):
             if _is_expired(node, now_ms):
                 self._nodes.pop(host)
+                self._agents_by_service.clear()
                 self._log.event(
                     'node_forgotten',
                     host=host,
@@ -191,6 +217,7 @@
     ) -> KnownNode:
         node = KnownNode(record=record, last_seen_ms=now_ms)
         self._nodes[record.host] = node
+        self._agents_by_service.clear()
         self._log.event(
             'node_heard',
             host=record.host,
