Queue opening packets at the agent in order of priority

Callers of services whose routes differ in priority saw requests answered late, or 503, because a target serves its queue in order of arrival and the agent delivered every opening packet at once.

OpeningGate decides for each Place whether the packet is delivered, queued or refused; OpeningQueue orders by timeliness, priority and age; OpeningAdmission connects both with the agent. AwaitedRequests counts new flows without a loop over all flows.

Other services are unchanged.

--- a/anvilthread/flow_node/agent_process.py
+++ b/anvilthread/flow_node/agent_process.py
@@ -6,6 +6,10 @@
 from anvilthread.flow_node.flow_node_settings import FlowNodeSettings
 from anvilthread.flow_node.flow_process import FlowProcess
 from anvilthread.flow_node.target_probe import is_listening
+from anvilthread.flows.agent_limits import (
+    build_opening_limit,
+    build_work_limit,
+)
 from anvilthread.flows.configuration_source import ConfigurationSource
 from anvilthread.flows.flow_agent import FlowAgent
 from anvilthread.flows.flow_packet_codec import FlowPacketCodec
@@ -75,6 +79,8 @@
             target=self._target,
             log=process.log,
             counters=process.counters,
+            work_limit=build_work_limit(self._target),
+            opening_limit=build_opening_limit(),
         )
         self._was_failing = False
 
@@ -93,12 +99,19 @@
         agent = self._agent
         return FlowMetrics(
             counters=self.process.counters,
-            latencies={'anvilthread_answer_seconds': agent.latencies},
+            latencies={
+                'anvilthread_answer_seconds': agent.latencies,
+                'anvilthread_opening_wait_seconds': agent.openings.waits,
+            },
             gauges={
                 'anvilthread_flows': lambda: len(agent.flows),
                 'anvilthread_requests_working': lambda: (
                     agent.flows.meter.working
                 ),
+                'anvilthread_openings_waiting': lambda: (
+                    agent.openings.gate.waiting
+                ),
+                'anvilthread_work_limit': lambda: agent.openings.gate.limit,
                 **self.process.gauges(),
             },
         )
@@ -123,7 +136,7 @@
         """Waits for SIGTERM; returns once the process may exit."""
         process = self.process
         process.stop_requested.wait()
-        self._agent.condition.stop()
+        self._agent.stop()
         process.log.event('process_stopping', flows=len(self._agent.flows))
         if not self._target.is_alive:
             self._probe_target()
--- a/anvilthread/flows/agent_condition.py
+++ b/anvilthread/flows/agent_condition.py
@@ -3,15 +3,20 @@
 from collections import deque
 from typing import Final
 
+import msgspec
+
 from anvilthread.clock import Clock
 from anvilthread.flows.active_time import ActiveTime
 from anvilthread.flows.agent_flow_table import AgentFlowTable
 from anvilthread.flows.flow_key import FlowKey
 from anvilthread.flows.node_messages import LoadReport
 from anvilthread.flows.node_record import NodeRecord
+from anvilthread.flows.opening_gate import OpeningGate
 from anvilthread.flows.route_holder import RouteHolder
 from anvilthread.flows.target_health import TargetHealth
 from anvilthread.flows.target_watch import TargetWatch
+from anvilthread.flows.traffic_class import LOWEST_PRIORITY
+from anvilthread.flows.work_observer import WorkObserver
 from anvilthread.telemetry.log import Log
 
 #: Time for which a target may send nothing after an opening packet before
@@ -33,6 +38,8 @@
         routes: Configuration in force.
         flows: Flows of the target.
         target: State of the target, from its heartbeats and packets.
+        gate: Decides about opening packets, for the expected wait.
+        work: Learns of unanswered requests.
         log: Receives each change.
     """
 
@@ -41,6 +48,7 @@
         '_agent',
         '_clock',
         '_flows',
+        '_gate',
         '_health',
         '_is_stopping',
         '_pending_openings',
@@ -49,6 +57,7 @@
         '_started_ms',
         '_target',
         '_unanswered_openings',
+        '_work',
     )
 
     def __init__(
@@ -59,6 +68,8 @@
         routes: RouteHolder,
         flows: AgentFlowTable,
         target: TargetWatch,
+        gate: OpeningGate,
+        work: WorkObserver,
         log: Log,
     ) -> None:
         self._clock = clock
@@ -66,6 +77,8 @@
         self._routes = routes
         self._flows = flows
         self._target = target
+        self._gate = gate
+        self._work = work
         self._health = TargetHealth(clock=clock, log=log)
         self._pending_openings: deque[tuple[int, int, FlowKey]] = deque()
         self._started_ms = clock.now_ms()
@@ -104,23 +117,17 @@
             period_ms: Maximum time until the next report.
         """
         self._sequence += 1
-        return LoadReport(
-            node=self._agent,
-            sequence=self._sequence,
-            accepts=self.accepts,
-            working=self._flows.meter.working
-            + self._flows.awaiting_first_request,
-            busy=round(self._flows.meter.mean, 3),
-            flows=self._flows.reused_flows,
-            period_ms=period_ms,
-            slots=self._target.slots,
-            cold_ms=self._target.cold_ms,
-            version=self._routes.table.version,
-            check_age_ms=self._routes.check_age_ms,
-            is_failing=self._health.is_failing,
-            uptime_ms=self._clock.now_ms() - self._started_ms,
-            has_new_target=self._target.saw_target_start
-            or self._target.is_absent,
+        table = self._routes.table
+        report = self._basic_report(period_ms)
+        if not table.orders_by_priority(self._agent.service):
+            return report
+        gate = self._gate
+        return msgspec.structs.replace(
+            report,
+            run_ms=round(gate.known_run_ms, 1),
+            wait_ms=gate.expected_wait_ms(LOWEST_PRIORITY),
+            waiting=gate.waiting,
+            limit=gate.limit,
         )
 
     def record_opening(self, key: FlowKey) -> None:
@@ -158,3 +165,25 @@
         """Removes expired flows, and times out unanswered requests."""
         for _ in range(self._flows.sweep()):
             self._health.record_failure('request_unanswered')
+            self._work.on_failure()
+
+    def _basic_report(self, period_ms: int) -> LoadReport:
+        """Describes the load, without the wait for the target."""
+        return LoadReport(
+            node=self._agent,
+            sequence=self._sequence,
+            accepts=self.accepts,
+            working=self._flows.meter.working
+            + self._flows.awaiting_first_request,
+            busy=round(self._flows.meter.mean, 3),
+            flows=self._flows.reused_flows,
+            period_ms=period_ms,
+            slots=self._target.slots,
+            cold_ms=self._target.cold_ms,
+            version=self._routes.table.version,
+            check_age_ms=self._routes.check_age_ms,
+            is_failing=self._health.is_failing,
+            uptime_ms=self._clock.now_ms() - self._started_ms,
+            has_new_target=self._target.saw_target_start
+            or self._target.is_absent,
+        )
--- a/anvilthread/flows/agent_flow.py
+++ b/anvilthread/flows/agent_flow.py
@@ -21,6 +21,7 @@
         'requested_ms',
         'requests',
         'target_packet_ms',
+        'working',
     )
 
     def __init__(self, *, balancer: str, now_ms: int) -> None:
@@ -41,5 +42,7 @@
         self.request_id = ''
         #: Number of requests so far.
         self.requests = 0
+        #: Requests at the target when the last one began, itself included.
+        self.working = 0
         #: Last stream position that the client has acknowledged.
         self.acknowledged = 0
--- a/anvilthread/flows/agent_flow_table.py
+++ b/anvilthread/flows/agent_flow_table.py
@@ -4,16 +4,13 @@
 
 from anvilthread.clock import Clock
 from anvilthread.flows.agent_flow import AgentFlow
+from anvilthread.flows.awaited_requests import AwaitedRequests
 from anvilthread.flows.flow_key import FlowKey
 from anvilthread.flows.flow_times import CLOSED_MS
 from anvilthread.flows.flow_packet import FlowPacket
 from anvilthread.flows.route_holder import RouteHolder
 from anvilthread.flows.work_meter import WorkMeter
 
-#: Time for which a new flow without a request counts as load: its first
-#: request follows within a round trip to the client.
-_FIRST_REQUEST_MS: Final = 40
-
 #: Retention of a flow that the target has not accepted. By then, the client
 #: has given up its attempt to open it.
 _UNACCEPTED_MS: Final = 1500
@@ -31,13 +28,14 @@
         routes: Configuration in force, for the idle timeout of flows.
     """
 
-    __slots__ = ('_clock', '_flows', '_meter', '_routes')
+    __slots__ = ('_awaited', '_clock', '_flows', '_meter', '_routes')
 
     def __init__(self, *, clock: Clock, routes: RouteHolder) -> None:
         self._clock = clock
         self._routes = routes
         self._meter = WorkMeter(clock=clock)
         self._flows: dict[FlowKey, AgentFlow] = {}
+        self._awaited = AwaitedRequests(clock=clock)
 
     def __len__(self) -> int:
         return len(self._flows)
@@ -55,12 +53,7 @@
     @property
     def awaiting_first_request(self) -> int:
         """Number of new flows whose first request has not arrived."""
-        now_ms = self._clock.now_ms()
-        return sum(
-            flow.requests == 0
-            and now_ms - flow.last_packet_ms < _FIRST_REQUEST_MS
-            for flow in self._flows.values()
-        )
+        return self._awaited.count
 
     def get(self, key: FlowKey) -> AgentFlow | None:
         """Returns a flow; None if it is unknown."""
@@ -75,13 +68,15 @@
         self.remove(key)
         flow = AgentFlow(balancer=balancer, now_ms=self._clock.now_ms())
         self._flows[key] = flow
+        self._awaited.touch(key)
         return flow
 
     def remove(self, key: FlowKey) -> None:
         """Removes a flow, if it is known."""
         flow = self._flows.pop(key, None)
         if flow is not None:
-            self._end_request(flow)
+            self._awaited.discard(key)
+            self.end_request(flow)
 
     def record_client_packet(self, packet: FlowPacket, flow: AgentFlow) -> bool:
         """Records a client packet; returns whether it begins a request."""
@@ -90,10 +85,13 @@
         if packet.is_fin or packet.is_reset:
             flow.is_closing = True
         if not packet.size or flow.requested_ms is not None:
+            self._await_request(packet.key, flow)
             return False
         flow.requested_ms = flow.last_packet_ms
         flow.requests += 1
+        self._awaited.discard(packet.key)
         self._meter.begin()
+        flow.working = self._meter.working
         return True
 
     def record_target_packet(
@@ -109,12 +107,19 @@
         flow.target_packet_ms = flow.last_packet_ms
         if packet.is_fin or packet.is_reset:
             flow.is_closing = True
+        self._await_request(packet.key, flow)
         requested_ms = flow.requested_ms
         if not packet.size or requested_ms is None:
             return None
-        self._end_request(flow)
+        self.end_request(flow)
         return flow.last_packet_ms - requested_ms
 
+    def end_request(self, flow: AgentFlow) -> None:
+        """Ends the request of a flow, if it has one, without an answer."""
+        if flow.requested_ms is not None:
+            flow.requested_ms = None
+            self._meter.end()
+
     def sweep(self) -> int:
         """Removes expired flows, and times out unanswered requests.
 
@@ -129,16 +134,15 @@
                 requested_ms is not None
                 and now_ms - requested_ms > _REQUEST_TIMEOUT_MS
             ):
-                self._end_request(flow)
+                self.end_request(flow)
                 unanswered += 1
             if now_ms - flow.last_packet_ms > self._retention_ms(flow):
                 self.remove(key)
         return unanswered
 
-    def _end_request(self, flow: AgentFlow) -> None:
-        if flow.requested_ms is not None:
-            flow.requested_ms = None
-            self._meter.end()
+    def _await_request(self, key: FlowKey, flow: AgentFlow) -> None:
+        if not flow.requests and key in self._flows:
+            self._awaited.touch(key)
 
     def _retention_ms(self, flow: AgentFlow) -> int:
         if flow.is_closing:
--- a/anvilthread/flows/balancer_flow.py
+++ b/anvilthread/flows/balancer_flow.py
@@ -1,6 +1,7 @@
 """State of one flow at a balancer."""
 
 from anvilthread.flows.flow_key import FlowKey
+from anvilthread.flows.opening_attempts import OpeningAttempts
 
 
 class BalancerFlow:
@@ -15,6 +16,7 @@
 
     __slots__ = (
         'agent',
+        'attempts',
         'is_closing',
         'is_confirmed',
         'key',
@@ -43,6 +45,8 @@
         self.opening_packet = b''
         #: Hosts of agents that have refused the flow or not answered.
         self.tried: set[str] = set()
+        #: Attempts to place it, where its service orders by priority.
+        self.attempts: OpeningAttempts | None = None
         #: Last packet of the client with data, and its time, to be sent again
         #: if the agent restarts.
         self.last_data = b''
--- a/anvilthread/flows/fleet_view.py
+++ b/anvilthread/flows/fleet_view.py
@@ -116,6 +116,10 @@
         """Returns the services of all agents."""
         return sorted({node.record.service for node in self.possible_holders})
 
+    def agent(self, host: str) -> KnownNode | None:
+        """Returns the agent with a host; None if it is unknown."""
+        return self._roster.get(host)
+
     def is_gone(self, host: str) -> bool:
         """Whether an agent has been silent for too long to hold flows."""
         node = self._roster.get(host)
--- a/anvilthread/flows/flow_agent.py
+++ b/anvilthread/flows/flow_agent.py
@@ -4,6 +4,7 @@
 from anvilthread.flows.agent_condition import AgentCondition
 from anvilthread.flows.agent_flow import AgentFlow
 from anvilthread.flows.agent_flow_table import AgentFlowTable
+from anvilthread.flows.agent_work import AgentWork
 from anvilthread.flows.flow_counters import FlowCounters
 from anvilthread.flows.flow_key import FlowKey, flow_name
 from anvilthread.flows.flow_network import FlowNetwork
@@ -13,13 +14,20 @@
 from anvilthread.flows.latency_buckets import LatencyBuckets
 from anvilthread.flows.lost_flows import LostFlows
 from anvilthread.flows.messages import MessageHandlers
-from anvilthread.flows.packet_messages import Forward, Place, Refused
+from anvilthread.flows.opening_admission import OpeningAdmission
+from anvilthread.flows.opening_gate import OpeningGate
+from anvilthread.flows.opening_limit import OpeningLimit
+from anvilthread.flows.opening_queue import OpeningQueue
+from anvilthread.flows.opening_refusals import OpeningRefusals
+from anvilthread.flows.packet_messages import Forward, Place, Withdraw
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
 from anvilthread.flows.search_answers import SearchAnswers
 from anvilthread.flows.search_messages import Ask, Locate, NotHeld
 from anvilthread.flows.target_offers import TargetOffers
 from anvilthread.flows.target_watch import TargetWatch
+from anvilthread.flows.work_limit import WorkLimit
+from anvilthread.flows.work_observer import WorkObserver
 from anvilthread.telemetry.log import Log
 
 
@@ -35,6 +43,10 @@
         target: State of the target.
         log: Receives one line per decision.
         counters: Counts of decisions.
+        work_limit: Limit on the requests at the target, where the service
+            orders them by priority; None for no limit.
+        opening_limit: Limit on the opening packets that the target receives
+            per second; None for no limit.
     """
 
     __slots__ = (
@@ -48,10 +60,12 @@
         '_lost_flows',
         '_network',
         '_offers',
+        '_openings',
         '_routes',
         '_search_answers',
         '_service',
         '_target',
+        '_work',
     )
 
     def __init__(
@@ -65,6 +79,8 @@
         target: TargetWatch,
         log: Log,
         counters: FlowCounters,
+        work_limit: WorkLimit | None = None,
+        opening_limit: OpeningLimit | None = None,
     ) -> None:
         self._clock = clock
         self._network = network
@@ -93,12 +109,23 @@
             log=log,
             counters=counters,
         )
+        self._work = WorkObserver(work_limit=work_limit)
+        queue = OpeningQueue(clock=clock)
+        gate = OpeningGate(
+            clock=clock,
+            work=AgentWork(flows=self._flows, target=target),
+            queue=queue,
+            work_limit=work_limit,
+            opening_limit=opening_limit,
+        )
         self._condition = AgentCondition(
             clock=clock,
             agent=roster.local_node,
             routes=routes,
             flows=self._flows,
             target=target,
+            gate=gate,
+            work=self._work,
             log=log,
         )
         self._latencies = LatencyBuckets()
@@ -114,6 +141,23 @@
             deliver=self._deliver,
             counters=counters,
         )
+        self._openings = OpeningAdmission(
+            clock=clock,
+            network=network,
+            routes=routes,
+            service=self._service,
+            flows=self._flows,
+            condition=self._condition,
+            queue=queue,
+            gate=gate,
+            opening_limit=opening_limit,
+            refusals=OpeningRefusals(
+                network=network, routes=routes, log=log, counters=counters
+            ),
+            send_held=self._search_answers.send_held,
+            log=log,
+            counters=counters,
+        )
 
     @property
     def flows(self) -> AgentFlowTable:
@@ -130,12 +174,18 @@
         """Acceptance of new flows, and load reports."""
         return self._condition
 
+    @property
+    def openings(self) -> OpeningAdmission:
+        """Opening packets, from their arrival to the target."""
+        return self._openings
+
     @property
     def handlers(self) -> MessageHandlers:
         """Handler of each type of message to an agent."""
         return {
             Forward: self.on_forward,
             Place: self.on_place,
+            Withdraw: self._openings.on_withdraw,
             Ask: self._search_answers.on_ask,
             Locate: self._search_answers.on_locate,
         }
@@ -145,13 +195,20 @@
         """Whether every flow of the target is in the table."""
         return self._search_answers.is_complete
 
+    def stop(self) -> None:
+        """Refuses all new flows from this call on, and returns waiting ones."""
+        self._condition.stop()
+        self._openings.return_all('stopping')
+
     def tick(self) -> None:
         """Checks the timeouts of offers and opening packets."""
         self._offers.tick()
         self._target.tick()
         self._lost_flows.tick()
         if self._condition.tick():
+            self._work.on_failure()
             self._lost_flows.reset('target_silent')
+        self._openings.tick()
 
     def on_place(self, host: str, message: Place) -> None:
         """Delivers an opening packet to the target, or refuses it."""
@@ -161,14 +218,9 @@
             return
         reason = self._refusal(packet, message)
         if reason:
-            self._refuse(host, packet, reason)
-            return
-        flow = self._flows.get(packet.key)
-        if flow is None or flow.is_closing:
-            flow = self._flows.add(packet.key, host)
-            self._condition.record_opening(packet.key)
-        flow.balancer = host
-        self._network.send_to_target(packet.content)
+            self._openings.refuse(host, packet, reason)
+        else:
+            self._openings.place(host, packet, message)
 
     def on_forward(self, host: str, message: Forward) -> None:
         """Delivers a packet of a flow that the sender assigns to this agent."""
@@ -176,6 +228,8 @@
         if packet is None:
             self._counters.add('packets_malformed')
         elif message.service == self._service:
+            if self._openings.is_ended_by(packet):
+                return
             flow = self._flows.get(packet.key)
             if flow is None:
                 flow = self._flows.add(packet.key, host)
@@ -202,21 +256,12 @@
                 self._search_answers.send_held(flow.balancer, packet.key)
         if packet.is_reset and flow.requested_ms is not None:
             self._condition.health.record_failure('flow_reset_by_target')
+            self._work.on_failure()
         working = self._flows.meter.working
         latency_ms = self._flows.record_target_packet(packet, flow)
         if latency_ms is not None:
-            self._latencies.observe(latency_ms)
-            status = self._codec.status(packet.content)
-            self._condition.health.record_answer(
-                status=status, working=working, slots=self._target.slots
-            )
-            self._event(
-                'request_answered',
-                packet.key,
-                request=flow.request_id,
-                status=status,
-                took_ms=latency_ms,
-            )
+            self._on_answer(packet, flow, latency_ms, working)
+        self._openings.on_ending(packet, flow)
         self._network.send_to_client(packet.key, packet.content)
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> bool:
@@ -230,12 +275,16 @@
         if effect.is_accepted and not was_alive:
             self._condition.health.reset()
         if effect.replaced is not None:
+            self._work.restart()
+            self._openings.return_all('target_restarted')
             if effect.replaced.is_draining:
                 self._condition.health.reset()
             else:
                 self._condition.health.record_crash()
         if effect.lost_before_ms is not None:
             self._lost_flows.reset_earlier(effect.lost_before_ms)
+        if self._condition.refusal:
+            self._openings.return_all(self._condition.refusal)
         return effect.is_accepted
 
     def on_departure(self, target: str) -> bool:
@@ -249,6 +298,7 @@
         """
         has_stopped = self._target.on_departure(target)
         if has_stopped:
+            self._openings.return_all('target_stopped')
             self._lost_flows.reset_stopped()
         return has_stopped
 
@@ -265,16 +315,8 @@
                 return 'no_route'
         return ''
 
-    def _refuse(self, host: str, packet: FlowPacket, reason: str) -> None:
-        refused = Refused(
-            packet=packet.content,
-            reason=reason,
-            version=self._routes.table.version,
-        )
-        self._network.send_to_node(host, refused)
-        self._event('flow_refused', packet.key, reason=reason, balancer=host)
-
     def _deliver(self, packet: FlowPacket, flow: AgentFlow) -> None:
+        self._openings.on_abort(packet, flow)
         if self._flows.record_client_packet(packet, flow):
             flow.request_id = self._codec.request_id(packet.content)
             self._event(
@@ -287,6 +329,27 @@
             )
         self._network.send_to_target(packet.content)
 
+    def _on_answer(
+        self, packet: FlowPacket, flow: AgentFlow, latency_ms: int, working: int
+    ) -> None:
+        """Handles the first packet of the answer to a request."""
+        self._latencies.observe(latency_ms)
+        status = self._codec.status(packet.content)
+        self._condition.health.record_answer(
+            status=status, working=working, slots=self._target.slots
+        )
+        self._work.on_answer(
+            status=status, run_ms=latency_ms, working=flow.working
+        )
+        self._event(
+            'request_answered',
+            packet.key,
+            request=flow.request_id,
+            status=status,
+            took_ms=latency_ms,
+        )
+        self._openings.deliver_waiting()
+
     def _recover_flow(
         self, key: FlowKey, balancer: str, is_assumed: bool
     ) -> None:
@@ -324,7 +387,9 @@
             self._counters.add('bounced_without_balancer')
         elif original.opens:
             self._condition.health.record_failure('opening_refused')
-            self._refuse(balancer, original, 'target_full')
+            self._work.on_refusal()
+            self._openings.refuse(balancer, original, 'target_full')
+            self._openings.deliver_waiting()
         else:
             not_held = NotHeld(key=original.key, packet=content)
             self._network.send_to_node(balancer, not_held)
--- a/anvilthread/flows/flow_balancer.py
+++ b/anvilthread/flows/flow_balancer.py
@@ -18,7 +18,7 @@
 from anvilthread.flows.known_node import KnownNode
 from anvilthread.flows.latency_buckets import LatencyBuckets
 from anvilthread.flows.messages import MessageHandlers
-from anvilthread.flows.packet_messages import Forward, Refused
+from anvilthread.flows.packet_messages import Forward, Queued, Refused
 from anvilthread.flows.route_holder import RouteHolder
 from anvilthread.flows.search_messages import Held, Located, NotHeld
 from anvilthread.telemetry.log import Log
@@ -121,6 +121,7 @@
             Held: self.on_held,
             NotHeld: self.on_not_held,
             Refused: self._opener.on_refused,
+            Queued: self._opener.queued.on_queued,
             Located: self.on_located,
         }
 
@@ -170,6 +171,7 @@
             return
         if not flow.is_confirmed and flow.opening_packet:
             self._latencies.observe(self._clock.now_ms() - flow.placed_ms)
+        self._opener.queued.on_held(host, flow)
         flow.agent = host
         flow.is_confirmed = flow.is_confirmed or not message.is_assumed
         flow.opening_packet = b''
--- a/anvilthread/flows/flow_opener.py
+++ b/anvilthread/flows/flow_opener.py
@@ -3,6 +3,8 @@
 from collections import deque
 from typing import Final
 
+import msgspec
+
 from anvilthread.clock import Clock
 from anvilthread.flows.balancer_flow import BalancerFlow
 from anvilthread.flows.balancer_flow_table import BalancerFlowTable
@@ -14,7 +16,14 @@
 from anvilthread.flows.flow_packet_codec import FlowPacketCodec
 from anvilthread.flows.flow_placement import FlowPlacement
 from anvilthread.flows.flow_resets import FlowResets
+from anvilthread.flows.known_node import KnownNode
+from anvilthread.flows.opening_attempts import (
+    ANY_WAIT,
+    FIRST_MAX_WAIT_MS,
+    OpeningAttempts,
+)
 from anvilthread.flows.packet_messages import Place, Refused
+from anvilthread.flows.queued_checks import QueuedChecks
 from anvilthread.flows.route_holder import RouteHolder
 from anvilthread.telemetry.log import Log
 
@@ -30,6 +39,13 @@
 _OPENING_TIMEOUT_MS: Final = 1400
 
 
+#: Longest wait that an agent can name; clients give up long before.
+_MAX_WAIT_MS: Final = 60_000
+
+#: Reasons of refusals that come with the expected wait at the agent.
+_WAIT_REASONS: Final = frozenset(('busy', 'no_room'))
+
+
 class FlowOpener:
     """Places the opening packets of clients until an agent confirms them.
 
@@ -56,6 +72,7 @@
         '_network',
         '_pending',
         '_placement',
+        '_queued',
         '_resets',
         '_routes',
     )
@@ -86,6 +103,14 @@
         self._counters = counters
         #: Time at which the placement of each flow is checked.
         self._pending: deque[tuple[int, FlowKey]] = deque()
+        self._queued = QueuedChecks(
+            clock=clock, network=network, flows=flows, resend=self._resend
+        )
+
+    @property
+    def queued(self) -> QueuedChecks:
+        """Flows whose opening packets wait at agents."""
+        return self._queued
 
     def is_opening(self, flow: BalancerFlow) -> bool:
         """Whether the client of a flow still waits for its first answer."""
@@ -96,13 +121,18 @@
         """Places a new flow, or resets it if no agent accepts it."""
         flow = self._flows.add(packet.key, '', service)
         flow.opening_packet = packet.content
+        if self._routes.table.orders_by_priority(service):
+            flow.attempts = OpeningAttempts(
+                now_ms=flow.placed_ms, copies=packet.acknowledged
+            )
         if not self._place(flow):
             retries_later = not self._fleet.is_settled
             self._reject(packet, flow, 'no_agent', retries_later=retries_later)
 
     def repeat(self, packet: FlowPacket, flow: BalancerFlow) -> None:
         """Sends a copy of an opening packet to the agent of its flow."""
-        if flow.is_confirmed:
+        attempts = flow.attempts
+        if flow.is_confirmed or (attempts is not None and attempts.queued_at):
             self._send_place(packet.content, flow)
 
     def on_refused(self, host: str, message: Refused) -> None:
@@ -116,7 +146,10 @@
         self._event(
             'flow_refused', packet.key, agent=host, reason=message.reason
         )
-        self._place_again(packet, flow, message.reason)
+        if flow.attempts is None:
+            self._place_again(packet, flow, message.reason)
+        else:
+            self._retry(packet, flow, flow.attempts, message)
 
     def tick(self) -> None:
         """Places flows again that were not confirmed in time."""
@@ -126,13 +159,44 @@
             due.append(self._pending.popleft()[1])
         for key in due:
             self._check_confirmation(key, now_ms)
+        self._queued.tick()
+
+    def _retry(
+        self,
+        packet: FlowPacket,
+        flow: BalancerFlow,
+        attempts: OpeningAttempts,
+        message: Refused,
+    ) -> None:
+        """Places a flow of an ordered service again, or resets it."""
+        host = flow.agent
+        attempts.leave()
+        if message.reason in _WAIT_REASONS:
+            self._correct_wait(flow, message.wait_ms)
+        if message.reason == 'no_room' and attempts.is_final:
+            self._reject(packet, flow, message.reason, retries_later=False)
+            return
+        if message.reason == 'busy' and not attempts.is_final:
+            attempts.record_busy(host, message.wait_ms)
+        else:
+            attempts.exclude(host)
+        self._place_again(packet, flow, message.reason)
+
+    def _correct_wait(self, flow: BalancerFlow, wait_ms: int) -> None:
+        node = self._fleet.agent(flow.agent)
+        if not 0 <= wait_ms <= _MAX_WAIT_MS:
+            self._event(
+                'wait_ignored', flow.key, agent=flow.agent, wait_ms=wait_ms
+            )
+        elif node is not None:
+            node.correct_wait(wait_ms)
 
     def _place_again(
         self, packet: FlowPacket, flow: BalancerFlow, reason: str
     ) -> None:
         flow.tried.add(flow.agent)
         flow.opening_packet = packet.content
-        has_attempts_left = len(flow.tried) < _MAX_ATTEMPTS
+        has_attempts_left = self._has_attempts_left(flow)
         if has_attempts_left and self._place(flow):
             return
         retries_later = has_attempts_left and self._fleet.is_starting
@@ -155,42 +219,81 @@
             self._flows.remove(flow.key)
             self._resets.send(flow.key, packet.acknowledged, reason)
 
+    def _has_attempts_left(self, flow: BalancerFlow) -> bool:
+        """Whether another agent may be asked; busy ones do not count."""
+        busy = 0 if flow.attempts is None else flow.attempts.busy_count
+        return len(flow.tried) - busy < _MAX_ATTEMPTS
+
     def _place(self, flow: BalancerFlow) -> bool:
-        now_ms = self._clock.now_ms()
-        chosen = self._placement.choose(flow.service, flow.key, flow.tried)
+        attempts = flow.attempts
+        chosen = None
+        if attempts is None or not attempts.is_exhausted:
+            chosen = self._placement.choose(flow.service, flow.key, flow.tried)
+        if attempts is not None:
+            attempts.max_wait_ms = FIRST_MAX_WAIT_MS
+            if chosen is None and attempts.shortest is not None:
+                attempts.max_wait_ms = ANY_WAIT
+                chosen = self._fleet.agent(attempts.shortest)
         if chosen is None:
             return False
+        self._send_first(flow, chosen)
+        return True
+
+    def _send_first(self, flow: BalancerFlow, chosen: KnownNode) -> None:
         flow.agent = chosen.host
-        self._pending.append((now_ms + _CONFIRM_TIMEOUT_MS, flow.key))
-        self._send_place(flow.opening_packet, flow)
+        self._resend(flow)
         self._event(
             'flow_placed',
             flow.key,
             service=flow.service,
             agent=chosen.host,
             load=round(chosen.load, 2),
-            report_age_ms=chosen.age_ms(now_ms),
+            report_age_ms=chosen.age_ms(self._clock.now_ms()),
             version=self._routes.table.version,
             tried=len(flow.tried),
         )
-        return True
+
+    def _resend(self, flow: BalancerFlow) -> None:
+        """Sends the opening packet, and expects an answer in time."""
+        due_ms = self._clock.now_ms() + _CONFIRM_TIMEOUT_MS
+        if flow.attempts is not None:
+            flow.attempts.due_ms = due_ms
+        self._pending.append((due_ms, flow.key))
+        self._send_place(flow.opening_packet, flow)
 
     def _check_confirmation(self, key: FlowKey, now_ms: int) -> None:
         flow = self._flows.get(key)
         if flow is None or flow.is_confirmed or not flow.opening_packet:
             return
         if now_ms - flow.placed_ms > _OPENING_TIMEOUT_MS:
-            self._flows.remove(key)
+            self._remove(flow)
             return
         if not flow.agent:
             if not self._place(flow):
                 self._pending.append((now_ms, key))
             return
-        self._event('flow_unconfirmed', key, agent=flow.agent)
+        attempts = flow.attempts
+        if attempts is not None and attempts.is_awaited(now_ms):
+            return
+        self._replace_silent(flow)
+
+    def _replace_silent(self, flow: BalancerFlow) -> None:
+        """Places a flow again whose agent has not answered."""
+        self._event('flow_unconfirmed', flow.key, agent=flow.agent)
         flow.tried.add(flow.agent)
-        if len(flow.tried) >= _MAX_ATTEMPTS or not self._place(flow):
+        if flow.attempts is not None:
+            flow.attempts.exclude(flow.agent)
+            # Its answer may have been lost.
+            flow.attempts.queued_at = flow.agent
+        self._queued.withdraw(flow)
+        if not self._has_attempts_left(flow) or not self._place(flow):
             # The next retransmission by the client starts a new placement.
-            self._flows.remove(key)
+            self._flows.remove(flow.key)
+
+    def _remove(self, flow: BalancerFlow) -> None:
+        """Removes a flow whose client has given up."""
+        self._queued.withdraw(flow)
+        self._flows.remove(flow.key)
 
     def _send_place(self, opening_packet: bytes, flow: BalancerFlow) -> None:
         message = Place(
@@ -198,6 +301,13 @@
             service=flow.service,
             version=self._routes.table.version,
         )
+        attempts = flow.attempts
+        if attempts is not None:
+            message = msgspec.structs.replace(
+                message,
+                waited_ms=max(self._clock.now_ms() - attempts.sent_ms, 0),
+                max_wait_ms=attempts.max_wait_ms,
+            )
         self._network.send_to_node(flow.agent, message)
 
     def _event(self, name: str, key: FlowKey, **fields: object) -> None:
