Let the target stand-in take time for requests

Tests of waiting opening packets need targets whose slots are busy. With run_ms above 0, a FlowTarget processes as many requests at a time as it has slots, queues eight and answers further ones 503.

--- a/standins/flow_cluster.py
+++ b/standins/flow_cluster.py
@@ -3,11 +3,12 @@
 import heapq
 import itertools
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
 from typing import Any
 
 from anvilthread.clock import ManualClock
+from anvilthread.flows.agent_limits import build_work_limit
 from anvilthread.flows.fleet_view import FleetView
 from anvilthread.flows.flow_agent import FlowAgent
 from anvilthread.flows.flow_balancer import FlowBalancer
@@ -20,12 +21,14 @@
 from anvilthread.flows.message_codec import decode_message, encode_message
 from anvilthread.flows.messages import AnyMessage, MessageHandlers
 from anvilthread.flows.node_record import NodeRecord, NodeRole
+from anvilthread.flows.opening_limit import OpeningLimit
 from anvilthread.flows.peer_messages import PeerMessages
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
 from anvilthread.flows.route_table import Route, RouteTable, ServiceShare
 from anvilthread.flows.store_era import StoreEra
 from anvilthread.flows.target_watch import TargetWatch
+from anvilthread.flows.traffic_class import TrafficClass
 from anvilthread.telemetry.memory_log import MemoryLog
 from standins.flow_target import FlowTarget
 from standins.plain_packet_codec import (
@@ -47,9 +50,20 @@
 
 
 def route_table(
-    version: int, ports: dict[int, str], idle_ms: int = 15_000
+    version: int,
+    ports: dict[int, str],
+    idle_ms: int = 15_000,
+    traffic: Mapping[int, TrafficClass] | None = None,
 ) -> RouteTable:
-    """Builds a configuration with a route for each port."""
+    """Builds a configuration with a route for each port.
+
+    Args:
+        version: Its version.
+        ports: Service behind each port.
+        idle_ms: Time after which an idle flow may be removed.
+        traffic: What routes require of their requests, by port.
+    """
+    classes = {} if traffic is None else traffic
     return RouteTable(
         version=version,
         idle_ms=idle_ms,
@@ -58,6 +72,7 @@
             pack_endpoint(SERVICE_HOST, port): Route(
                 name=f'route-{port}',
                 shares=(ServiceShare(service=service, weight=1),),
+                traffic=classes.get(port, TrafficClass()),
             )
             for port, service in ports.items()
         },
@@ -165,7 +180,7 @@
             service=target.service,
             sequence=target.sequence,
             is_draining=target.is_draining,
-            slots=2,
+            slots=target.slots,
             cold_ms=target.cold_ms,
         )
         if self.agent is None or self.agent.on_heartbeat(heartbeat):
@@ -197,7 +212,11 @@
         }
         if self.record.role == NodeRole.AGENT:
             self.agent = FlowAgent(
-                roster=self.roster, target=self.watch, **parts
+                roster=self.roster,
+                target=self.watch,
+                work_limit=build_work_limit(self.watch),
+                opening_limit=self._cluster.opening_limit,
+                **parts,
             )
             self._handlers = self.agent.handlers
             return
@@ -225,11 +244,18 @@
     def _deliver_to_target(self, target: FlowTarget, content: bytes) -> None:
         answer = target.handle_packet(content)
         if answer is not None:
-            self._cluster.schedule(
-                HOP_MS, lambda: self._deliver_from_target(answer)
-            )
+            self._cluster.schedule(HOP_MS, lambda: self.on_target(answer))
+        target.begin(self._cluster.schedule, self._send_from_target)
+
+    def _send_from_target(self, content: bytes) -> None:
+        """Sends an answer to the agent's process that then runs."""
+        host = self.record.host
+        self._cluster.schedule(
+            HOP_MS, lambda: self._cluster.nodes[host].on_target(content)
+        )
 
-    def _deliver_from_target(self, content: bytes) -> None:
+    def on_target(self, content: bytes) -> None:
+        """Handles a packet of the local target."""
         packet = PlainPacketCodec().from_target(content)
         if self.is_up and self.agent is not None and packet is not None:
             self.agent.on_target_packet(packet)
@@ -252,6 +278,8 @@
         self.clock = ManualClock(start_ms=1000)
         self.random = Random(seed)
         self.table = route_table(1, {SERVICE_PORT: SERVICE})
+        #: Limit on opening packets at the agents that start from now on.
+        self.opening_limit: OpeningLimit | None = None
         #: Time and content of every packet sent to a client.
         self.received: list[tuple[int, PlainPacket]] = []
         #: Pairs of sender and receiver whose messages are lost.
--- a/standins/flow_target.py
+++ b/standins/flow_target.py
@@ -1,17 +1,26 @@
 """A simulated flow target for tests in virtual time."""
 
-from collections import Counter
+from collections import Counter, deque
+from collections.abc import Callable
 
 import msgspec
 
 from standins.plain_packet_codec import (
     FAILURE_PREFIX,
+    REFUSAL_PREFIX,
     PlainPacket,
     decode_packet,
     encode_packet,
 )
 
 
+#: Runs a callback after a delay in ms.
+Schedule = Callable[[int, Callable[[], None]], None]
+
+#: Requests that wait for a slot before further ones are answered 503.
+MAX_QUEUED = 8
+
+
 class FlowTarget:
     """Accepts flows, answers requests and bounces packets of unknown flows.
 
@@ -38,6 +47,12 @@
         #: Whether every request fails while heartbeats continue.
         self.fails = False
         self.sequence = 0
+        #: Requests that it processes at a time, and the time of each; with 0
+        #: ms, every request is answered at once.
+        self.slots = 2
+        self.run_ms = 0
+        self._running = 0
+        self._queued: deque[PlainPacket] = deque()
         #: Remaining time of the slow start that heartbeats report.
         self.cold_ms = 0
         #: Number of requests received, by flow.
@@ -48,11 +63,15 @@
         self.opened: list[bytes] = []
         self.served: list[bytes] = []
         self.bounced: list[bytes] = []
+        #: Bodies of requests that were answered 503.
+        self.refused: list[bytes] = []
 
     def crash(self) -> None:
         """Loses every flow and stops answering."""
         self.is_up = False
         self.flows.clear()
+        self._queued.clear()
+        self._running = 0
 
     def restart(self, *, born_ms: int) -> None:
         """Starts another incarnation, which holds no flow.
@@ -67,6 +86,28 @@
         self.born_ms = born_ms
         self.sequence = 0
 
+    def begin(self, schedule: Schedule, send: Callable[[bytes], None]) -> None:
+        """Begins the requests for which there are slots.
+
+        Args:
+            schedule: Used for the time of requests.
+            send: Sends an answer to the agent.
+        """
+        while self._queued and self._running < self.slots:
+            self._running += 1
+            packet = self._queued.popleft()
+            born_ms = self.born_ms
+
+            def end(packet: PlainPacket = packet) -> None:
+                if not self.is_up or self.born_ms != born_ms:
+                    return
+                self._running -= 1
+                self.served.append(packet.body)
+                send(self._answer(packet))
+                self.begin(schedule, send)
+
+            schedule(self.run_ms, end)
+
     def handle_packet(self, content: bytes) -> bytes | None:
         """Handles a packet; returns the immediate reply, if any."""
         if not self.is_up:
@@ -84,17 +125,14 @@
             return None
         self._received[packet.key] = packet.sequence
         self.flows[packet.key] += 1
-        self.served.append(packet.body)
-        if not self.answers:
+        if self.run_ms and self.answers:
+            if len(self._queued) >= MAX_QUEUED:
+                self.refused.append(packet.body)
+                return self._answer(packet, REFUSAL_PREFIX)
+            self._queued.append(packet)
             return None
-        return encode_packet(
-            PlainPacket(
-                key=packet.key,
-                flags='A',
-                acknowledged=packet.sequence,
-                body=self._answer(packet.body),
-            )
-        )
+        self.served.append(packet.body)
+        return self._answer(packet) if self.answers else None
 
     def _open(self, packet: PlainPacket) -> bytes:
         self.opened.append(packet.key)
@@ -105,9 +143,16 @@
             self._received.pop(packet.key, None)
         return encode_packet(PlainPacket(key=packet.key, flags='SA'))
 
-    def _answer(self, body: bytes) -> bytes:
+    def _answer(self, packet: PlainPacket, refusal: bytes = b'') -> bytes:
         prefix = FAILURE_PREFIX if self.fails else f'{self.name}:'.encode()
-        return prefix + body
+        return encode_packet(
+            PlainPacket(
+                key=packet.key,
+                flags='A',
+                acknowledged=packet.sequence,
+                body=(refusal or prefix) + packet.body,
+            )
+        )
 
     def _reject_unknown(self, packet: PlainPacket) -> bytes:
         if self.resets_foreign:
--- a/standins/plain_packet_codec.py
+++ b/standins/plain_packet_codec.py
@@ -8,6 +8,9 @@
 #: First bytes of an answer that reports a failure of the target.
 FAILURE_PREFIX = b'failure:'
 
+#: First bytes of an answer that says that the target is overloaded.
+REFUSAL_PREFIX = b'refusal:'
+
 
 class PlainPacket(msgspec.Struct, frozen=True, kw_only=True):
     """A packet of either endpoint of a flow."""
@@ -87,6 +90,8 @@
         body = decode_packet(content).body
         if body.startswith(FAILURE_PREFIX):
             return 500
+        if body.startswith(REFUSAL_PREFIX):
+            return 503
         return 200 if body else 0
 
     def reset(self, key: FlowKey, acknowledged: int) -> bytes:
