--- a/anvilthread/flows/flow_balancer.py
+++ b/anvilthread/flows/flow_balancer.py
@@ -147,7 +147,7 @@
             self._open(packet, flow)
         elif flow is None:
             self._search_holder(packet)
-        else:
+        elif not packet.is_reset or not self._opener.abandon(flow):
             self._forward(packet, flow)
 
     def on_held(self, host: str, message: Held) -> None:
--- a/anvilthread/flows/flow_opener.py
+++ b/anvilthread/flows/flow_opener.py
@@ -135,6 +135,17 @@
         if flow.is_confirmed or (attempts is not None and attempts.queued_at):
             self._send_place(packet.content, flow)
 
+    def abandon(self, flow: BalancerFlow) -> bool:
+        """Removes a flow that its client aborts while its packet waits.
+
+        Returns:
+            Whether the packet waits, so that no target has seen the flow.
+        """
+        if flow.attempts is None or not flow.attempts.queued_at:
+            return False
+        self._remove(flow)
+        return True
+
     def on_refused(self, host: str, message: Refused) -> None:
         """Places a flow on another agent after one has refused it."""
         packet = self._codec.from_client(message.packet)
--- a/anvilthread/flows/opening_admission.py
+++ b/anvilthread/flows/opening_admission.py
@@ -174,7 +174,7 @@
     def deliver_waiting(self) -> None:
         """Delivers waiting packets while the target has capacity."""
         while len(self._queue) and self._gate.has_work_room:
-            opening = self._queue.take(self._gate.run_ms)
+            opening = self._queue.take(self._gate.answer_ms)
             if opening is None:
                 return
             if self._gate.has_warmup_room:
@@ -216,6 +216,7 @@
         self.deliver_waiting()
         for opening in self._queue.take_hopeless(
             run_ms=self._gate.run_ms,
+            answer_ms=self._gate.answer_ms,
             above=self._gate.requests_above_slots,
             slots=self._gate.slots,
         ):
@@ -275,6 +276,9 @@
             working=self._flows.meter.working,
             limit=self._gate.limit,
         )
+        displaced = self._queue.take_displaced(self._gate.answer_ms)
+        if displaced is not None:
+            self._return(displaced, 'no_room')
 
     def _return(self, opening: QueuedOpening, reason: str) -> None:
         self._refusals.send(
--- a/anvilthread/flows/opening_gate.py
+++ b/anvilthread/flows/opening_gate.py
@@ -14,6 +14,10 @@
 #: zero would make a target of unknown speed look free to every balancer.
 _DEFAULT_RUN_MS: Final = 30
 
+#: Longest round trip to a client. The request follows the answer to the
+#: opening packet, and the client counts both.
+_ROUND_TRIP_MS: Final = 10
+
 _DELIVER: Final = OpeningDecision(action=OpeningAction.DELIVER)
 _REFUSE_COLD: Final = OpeningDecision(
     action=OpeningAction.REFUSE, reason='warming_up'
@@ -76,6 +80,12 @@
         """Time that the target takes for a request, or a default."""
         return self.known_run_ms or _DEFAULT_RUN_MS
 
+    @property
+    def answer_ms(self) -> float:
+        """Time from the delivery of a packet to the answer of its request."""
+        ahead = max(self._work.requests + 1, self._work.slots)
+        return self.run_ms * ahead / self._work.slots + _ROUND_TRIP_MS
+
     @property
     def waiting(self) -> int:
         """Number of packets that wait."""
@@ -122,8 +132,8 @@
                 action=OpeningAction.REFUSE, reason='busy', wait_ms=wait_ms
             )
         age_ms = self._clock.now_ms() - opening.sent_ms
-        is_served_later = age_ms + wait_ms > ABANDONED_MS
-        if is_served_later or not self._queue.has_room_for(opening.key):
+        has_room = self._queue.has_room_for(opening.key, opening.priority)
+        if not has_room or age_ms + wait_ms > ABANDONED_MS:
             return OpeningDecision(
                 action=OpeningAction.REFUSE, reason='no_room', wait_ms=wait_ms
             )
--- a/anvilthread/flows/opening_queue.py
+++ b/anvilthread/flows/opening_queue.py
@@ -51,12 +51,20 @@
         """Returns a waiting packet; None if the flow has none."""
         return self._waiting.get(key)
 
-    def has_room_for(self, key: FlowKey) -> bool:
-        """Whether one more packet of the client of a flow may wait."""
-        if len(self._waiting) >= MAX_WAITING:
-            return False
+    def has_room_for(self, key: FlowKey, priority: int) -> bool:
+        """Whether one more packet may wait.
+
+        In a full queue, it takes the place of one of a lower priority.
+
+        Args:
+            key: The flow, for the share of its client.
+            priority: Priority of the packet.
+        """
         held = self._by_client.get(client_host(key), 0)
-        return held < MAX_WAITING * _MAX_CLIENT_SHARE
+        if held >= MAX_WAITING * _MAX_CLIENT_SHARE:
+            return False
+        count = len(self._waiting)
+        return count < MAX_WAITING or self.count_ahead(priority) < count
 
     def count_ahead(self, priority: int) -> int:
         """Number of waiting packets of the same or a higher priority."""
@@ -69,6 +77,24 @@
         self._by_client[opening.client] += 1
         self._by_priority[opening.priority] += 1
 
+    def take_displaced(self, answer_ms: float) -> QueuedOpening | None:
+        """Removes and returns the last packet if there is one too many.
+
+        Args:
+            answer_ms: Time from a delivery to the answer of its request.
+        """
+        if len(self._waiting) <= MAX_WAITING:
+            return None
+        now_ms = self._clock.now_ms()
+        last = max(
+            self._waiting.values(),
+            key=lambda opening: (
+                opening.priority,
+                _rank(opening, now_ms, answer_ms),
+            ),
+        )
+        return self.discard(last.key)
+
     def discard(self, key: FlowKey) -> QueuedOpening | None:
         """Removes and returns the packet of a flow, if it has one."""
         opening = self._waiting.pop(key, None)
@@ -80,11 +106,11 @@
             self._by_client.pop(opening.client)
         return opening
 
-    def take(self, run_ms: float) -> QueuedOpening | None:
+    def take(self, answer_ms: float) -> QueuedOpening | None:
         """Removes and returns the packet that is delivered next.
 
         Args:
-            run_ms: Time that the target takes for a request.
+            answer_ms: Time from the delivery to the answer of the request.
 
         Returns:
             The packet, or None if none waits.
@@ -96,14 +122,14 @@
             now_ms = self._clock.now_ms()
             chosen = min(
                 self._waiting.values(),
-                key=lambda opening: _rank(opening, now_ms, run_ms),
+                key=lambda opening: _rank(opening, now_ms, answer_ms),
             )
         else:
             chosen = min(self._waiting.values(), key=_sent_ms)
         return self.discard(chosen.key)
 
     def take_hopeless(
-        self, *, run_ms: float, above: int, slots: int
+        self, *, run_ms: float, answer_ms: float, above: int, slots: int
     ) -> list[QueuedOpening]:
         """Removes and returns the packets that cannot be served in time.
 
@@ -112,6 +138,7 @@
 
         Args:
             run_ms: Time that the target takes for a request.
+            answer_ms: Time from a delivery to the answer of its request.
             above: Requests at the target above its slots.
             slots: Requests that the target processes at a time.
         """
@@ -119,7 +146,7 @@
         by_age = sorted(self._waiting.values(), key=_sent_ms)
         older = {opening.key: rank for rank, opening in enumerate(by_age)}
         ranked = sorted(
-            by_age, key=lambda opening: _rank(opening, now_ms, run_ms)
+            by_age, key=lambda opening: _rank(opening, now_ms, answer_ms)
         )
         kept = 0
         hopeless = []
@@ -143,9 +170,9 @@
 
 
 def _rank(
-    opening: QueuedOpening, now_ms: int, run_ms: float
+    opening: QueuedOpening, now_ms: int, answer_ms: float
 ) -> tuple[bool, int, int]:
-    is_late = opening.is_late(now_ms, run_ms)
+    is_late = opening.is_late(now_ms, answer_ms)
     return is_late, opening.priority, opening.sent_ms
 
 
--- a/anvilthread/flows/queued_opening.py
+++ b/anvilthread/flows/queued_opening.py
@@ -46,13 +46,13 @@
         self.sent_ms = sent_ms
         self.arrived_ms = arrived_ms
 
-    def is_late(self, now_ms: int, run_ms: float) -> bool:
-        """Whether a request that begins now would miss its objective.
+    def is_late(self, now_ms: int, answer_ms: float) -> bool:
+        """Whether a packet that is delivered now misses its objective.
 
         Args:
             now_ms: Current time.
-            run_ms: Time that the target takes for a request.
+            answer_ms: Time from the delivery to the answer of the request.
         """
         if not self.objective_ms:
             return False
-        return now_ms - self.sent_ms + run_ms > self.objective_ms
+        return now_ms - self.sent_ms + answer_ms > self.objective_ms
