Notice a dead target whose limit is used up

A target that ended with as many requests as its agent allows got no further opening packet, so none stayed unanswered, and its waiting packets were only returned when they could not be served any more. A target that has been silent for four requests, 100 ms at least, now gets up to two waiting packets above its limit; a running one answers them within a few ms, however busy it is.

--- a/anvilthread/flows/flow_agent.py
+++ b/anvilthread/flows/flow_agent.py
@@ -113,7 +113,7 @@
         queue = OpeningQueue(clock=clock)
         gate = OpeningGate(
             clock=clock,
-            work=AgentWork(flows=self._flows, target=target),
+            work=AgentWork(clock=clock, flows=self._flows, target=target),
             queue=queue,
             work_limit=work_limit,
             opening_limit=opening_limit,
--- a/anvilthread/flows/flow_key.py
+++ b/anvilthread/flows/flow_key.py
@@ -31,6 +31,11 @@
     return Endpoint(socket.inet_aton(host) + _PORT.pack(port))
 
 
+def client_of(key: FlowKey) -> bytes:
+    """Returns the IPv4 address of the client, in network order."""
+    return key[:_HOST_BYTES]
+
+
 def client_host(key: FlowKey) -> str:
     """Returns the IPv4 address of the client."""
     return socket.inet_ntoa(key[:_HOST_BYTES])
--- a/anvilthread/flows/opening_admission.py
+++ b/anvilthread/flows/opening_admission.py
@@ -174,22 +174,7 @@
     def deliver_waiting(self) -> None:
         """Delivers waiting packets while the target has capacity."""
         while len(self._queue) and self._gate.has_work_room:
-            opening = self._queue.take(self._gate.answer_ms)
-            if opening is None:
-                return
-            if self._gate.has_warmup_room:
-                waited_ms = self._clock.now_ms() - opening.arrived_ms
-                self._waits.observe(waited_ms)
-                self._event(
-                    'opening_delivered',
-                    opening.key,
-                    priority=opening.priority,
-                    waited_ms=waited_ms,
-                    waiting=len(self._queue),
-                )
-                self._deliver(opening.key, opening.content, opening.balancer)
-            else:
-                self._return(opening, 'warming_up')
+            self._deliver_next()
 
     def return_all(self, reason: str) -> None:
         """Returns every waiting packet to its balancer.
@@ -214,6 +199,8 @@
             self.return_all(reason)
             return
         self.deliver_waiting()
+        if self._gate.may_try_silent_target:
+            self._deliver_next()
         for opening in self._queue.take_hopeless(
             run_ms=self._gate.run_ms,
             answer_ms=self._gate.answer_ms,
@@ -300,6 +287,25 @@
             # The balancer checks a flow whose confirmation was lost.
             self._send_held(host, packet.key)
 
+    def _deliver_next(self) -> None:
+        """Delivers the first waiting packet, if any."""
+        opening = self._queue.take(self._gate.answer_ms)
+        if opening is None:
+            return
+        if not self._gate.has_warmup_room:
+            self._return(opening, 'warming_up')
+            return
+        waited_ms = self._clock.now_ms() - opening.arrived_ms
+        self._waits.observe(waited_ms)
+        self._event(
+            'opening_delivered',
+            opening.key,
+            priority=opening.priority,
+            waited_ms=waited_ms,
+            waiting=len(self._queue),
+        )
+        self._deliver(opening.key, opening.content, opening.balancer)
+
     def _deliver(self, key: FlowKey, content: bytes, balancer: str) -> None:
         self._flows.add(key, balancer)
         self._condition.record_opening(key)
--- a/anvilthread/flows/opening_gate.py
+++ b/anvilthread/flows/opening_gate.py
@@ -18,6 +18,16 @@
 #: opening packet, and the client counts both.
 _ROUND_TRIP_MS: Final = 10
 
+#: Silence of a target with work after which waiting packets show whether it
+#: still runs: several requests long, since the slowest 3% take seven times as
+#: long as others, and at least as long as an opening packet may go unanswered.
+_SILENT_RUNS: Final = 4
+_MIN_SILENCE_MS: Final = 100
+
+#: Packets above the limit that a silent target gets. Two that stay unanswered
+#: eject it.
+_MAX_TRIALS: Final = 2
+
 _DELIVER: Final = OpeningDecision(action=OpeningAction.DELIVER)
 _REFUSE_COLD: Final = OpeningDecision(
     action=OpeningAction.REFUSE, reason='warming_up'
@@ -65,6 +75,19 @@
             return True
         return self._work.requests < self._work_limit.limit
 
+    @property
+    def may_try_silent_target(self) -> bool:
+        """Whether a silent target gets a packet although it has no capacity.
+
+        A running target answers an opening packet within a few ms, however
+        busy it is. Without one, a target that ends with as many requests as
+        its limit would only be noticed when its heartbeats stay away.
+        """
+        if self._work.requests >= self.limit + _MAX_TRIALS:
+            return False
+        silence_ms = max(self.run_ms * _SILENT_RUNS, _MIN_SILENCE_MS)
+        return self._work.is_silent(silence_ms)
+
     @property
     def limit(self) -> int:
         """Requests that may be at the target at a time; 0 for no limit."""
--- a/anvilthread/flows/opening_queue.py
+++ b/anvilthread/flows/opening_queue.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from anvilthread.clock import Clock
-from anvilthread.flows.flow_key import FlowKey, client_host
+from anvilthread.flows.flow_key import FlowKey, client_of
 from anvilthread.flows.queued_opening import QueuedOpening
 from anvilthread.flows.traffic_class import LOWEST_PRIORITY
 
@@ -40,7 +40,7 @@
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
         self._waiting: dict[FlowKey, QueuedOpening] = {}
-        self._by_client: Counter[str] = Counter()
+        self._by_client: Counter[bytes] = Counter()
         self._by_priority = [0 for _ in range(LOWEST_PRIORITY + 1)]
         self._taken = 0
 
@@ -60,7 +60,7 @@
             key: The flow, for the share of its client.
             priority: Priority of the packet.
         """
-        held = self._by_client.get(client_host(key), 0)
+        held = self._by_client.get(client_of(key), 0)
         if held >= MAX_WAITING * _MAX_CLIENT_SHARE:
             return False
         count = len(self._waiting)
--- a/anvilthread/flows/queued_opening.py
+++ b/anvilthread/flows/queued_opening.py
@@ -1,6 +1,6 @@
 """An opening packet at the agent of a target."""
 
-from anvilthread.flows.flow_key import FlowKey, client_host
+from anvilthread.flows.flow_key import FlowKey, client_of
 from anvilthread.flows.traffic_class import TrafficClass
 
 
@@ -40,7 +40,7 @@
         self.key = key
         self.content = content
         self.balancer = balancer
-        self.client = client_host(key)
+        self.client = client_of(key)
         self.priority = traffic.priority
         self.objective_ms = traffic.objective_ms
         self.sent_ms = sent_ms
--- a/anvilthread/flows/target_work.py
+++ b/anvilthread/flows/target_work.py
@@ -13,3 +13,6 @@
     @property
     def slots(self) -> int:
         """Requests that the target processes at a time; at least 1."""
+
+    def is_silent(self, duration_ms: float) -> bool:
+        """Whether the target has sent nothing for some time."""
--- a/tests/flows/test_opening_gate.py
+++ b/tests/flows/test_opening_gate.py
@@ -30,6 +30,11 @@
         self.limit = limit
         self.run_ms: float = run_ms
         self.has_room = True
+        self.silent_ms = 0
+
+    def is_silent(self, duration_ms: float) -> bool:
+        """Whether the target has sent nothing for some time."""
+        return self.silent_ms >= duration_ms
 
     def record(self) -> None:
         """Counts nothing: room is set by the test."""
@@ -342,6 +347,31 @@
     assert decision.reason == 'warming_up'
 
 
+@pytest.mark.parametrize(
+    ('run_ms', 'requests', 'silent_ms', 'expected'),
+    [
+        (30, 2, 119, False),
+        (30, 2, 120, True),
+        (30, 3, 120, True),
+        # Two packets that stay unanswered eject the target.
+        (30, 4, 500, False),
+        (13, 2, 99, False),
+        # Long requests are no silence.
+        (400, 2, 1500, False),
+    ],
+)
+def test_silent_target_is_tried(
+    run_ms: int, requests: int, silent_ms: int, expected: bool
+) -> None:
+    """Guards against a dead target that is not noticed because it is full."""
+    clock = ManualClock(start_ms=10_000)
+    work = _Work(run_ms=run_ms)
+    work.requests = requests
+    work.silent_ms = silent_ms
+    gate = _gate(work, OpeningQueue(clock=clock), clock)
+    assert gate.may_try_silent_target == expected
+
+
 def test_target_of_unknown_speed_is_not_free() -> None:
     """Guards against a queue at a target that has answered nothing yet.
 
--- a/tests/flows/test_waiting_flows.py
+++ b/tests/flows/test_waiting_flows.py
@@ -240,6 +240,27 @@
     assert len(clients.answered_ms) >= 7
 
 
+def test_packets_leave_a_dead_target() -> None:
+    """Guards against clients that wait for a target that has ended.
+
+    Failure: a target ends with as many requests as its agent allows, so no
+    new packet would show that it does not answer.
+    """
+    cluster = _cluster(agents=3, run_ms=100)
+    clients = _Clients(cluster)
+    _fill(cluster, clients, 12)
+    node = max(cluster.agents, key=_waiting)
+    waiting = _waiting(node)
+    assert waiting > 1
+    assert node.target is not None
+    node.target.crash()
+    clients.advance(700)
+    assert not _waiting(node)
+    clients.advance(1000)
+    # Two were at the target when it ended.
+    assert len(clients.answered_ms) >= 10
+
+
 def test_silent_agent_loses_the_packet() -> None:
     """Guards against a packet that waits at two agents.
 
