Pause targets in the soak, and keep their flows for at least 3 s

The soak had no fault that pauses a target as SIGSTOP does (no packet, no heartbeat, its port open). pause_target pauses one for 0.1 to 1.5 s; a reset of one of its flows is a violation, also in runs with planned work only.

Its first run found a fault: with the soak's heartbeat interval of 0.3 s, the missing heartbeats counted as proof after 0.75 s, and a flow of a target that paused for 0.8 s was reset. The silence that proves the end of a target is now at least 3 s, whatever the interval.

--- a/anvilthread/flows/target_watch.py
+++ b/anvilthread/flows/target_watch.py
@@ -12,6 +12,10 @@
 #: counts as silent; one heartbeat may be late or lost.
 _HEARTBEAT_TIMEOUT_INTERVALS: Final = 2.5
 
+#: Minimum silence that shows that a target has ended, however short the
+#: interval: pauses of a VM last up to about 1.5 s.
+_MIN_END_SILENCE_MS: Final = 3000
+
 
 class TargetWatch:
     """Tracks the heartbeats of one target.
@@ -114,7 +118,7 @@
         which it has yet to read what has arrived.
         """
         silence_ms = self._active_time.elapsed_ms - self._seen_at_ms
-        return silence_ms > self._silence_timeout_ms
+        return silence_ms > max(self._silence_timeout_ms, _MIN_END_SILENCE_MS)
 
     def is_seen_since(self, since_ms: int) -> bool:
         """Whether a heartbeat or packet has arrived at a time or later."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -43,6 +43,7 @@
             self.lose_answers,
             self.restore_store,
             self.refuse_nodes,
+            self.pause_target,
         )
         self.unplanned = (
             self.kill_balancer,
@@ -168,6 +169,17 @@
         gevent.sleep(self._random.uniform(0.5, 3.0))
         store.refused = set()
 
+    def pause_target(self) -> None:
+        """Pauses a target; it keeps its flows, and none of them may be reset.
+
+        Therefore it is not recorded as a fault, after which resets of live
+        flows would be excused.
+        """
+        target = self._random.choice(list(self._cluster.targets.values()))
+        target.pause()
+        gevent.sleep(self._random.uniform(0.1, 1.5))
+        target.resume()
+
     def kill_balancer(self) -> None:
         """Kills a balancer and starts it again."""
         self._kill(self._random.choice(self._cluster.balancers))
--- a/standins/platform_target.py
+++ b/standins/platform_target.py
@@ -10,6 +10,7 @@
 import gevent
 import msgspec
 from gevent import socket
+from gevent.event import Event
 from gevent.server import StreamServer
 
 from standins.platform_packet import (
@@ -82,6 +83,9 @@
         self.fails = False
         #: Whether packets are dropped in both directions; flows are kept.
         self.is_silent = False
+        #: Cleared while the target is paused.
+        self._running = Event()
+        self._running.set()
         self._ports = ports
         self._observer = observer
         self._random = random
@@ -105,6 +109,17 @@
         flow = self.flows.get(client)
         return flow is not None and flow.is_open
 
+    def pause(self) -> None:
+        """Stops all work, as SIGSTOP does; packets wait in its socket.
+
+        Its flows are kept, and the operating system accepts connections.
+        """
+        self._running.clear()
+
+    def resume(self) -> None:
+        """Ends a pause."""
+        self._running.set()
+
     def drain(self) -> None:
         """Announces that the target is about to stop."""
         self._is_draining = True
@@ -119,7 +134,9 @@
 
     def _receive(self) -> None:
         while True:
+            self._running.wait()
             content, _ = self._socket.recvfrom(2048)
+            self._running.wait()
             try:
                 packet, is_intact = read_packet(content)
             except struct.error:
@@ -174,6 +191,7 @@
         request = match.group(1).decode() if match else ''
         self._observer.on_run(request, self.service, self.name)
         gevent.sleep(self._random.uniform(0.005, 0.04))
+        self._running.wait()
         text = f'{self.service}:{request}:{"x" * self._random.randint(0, 800)}'
         status = '500 Internal Server Error' if self.fails else '200 OK'
         head = f'HTTP/1.1 {status}\r\nContent-Length: {len(text)}\r\n\r\n'
@@ -193,6 +211,7 @@
                 return
             self._send(answer.encode())
             gevent.sleep(_RETRANSMIT_INTERVAL_S)
+            self._running.wait()
 
     def _reply(self, packet: PlatformPacket, flags: int, sequence: int) -> None:
         reply = PlatformPacket(
@@ -215,6 +234,7 @@
             gevent.sleep(_HEARTBEAT_INTERVAL_S)
 
     def _send_heartbeat(self) -> None:
+        self._running.wait()
         self._heartbeat_sequence += 1
         state = 'draining' if self._is_draining else 'ready'
         body = {
--- a/tests/flows/test_silence_check.py
+++ b/tests/flows/test_silence_check.py
@@ -17,10 +17,10 @@
 class _Check:
     """A check of a target whose heartbeats have stopped."""
 
-    def __init__(self) -> None:
+    def __init__(self, interval_ms: int = HEARTBEAT_MS) -> None:
         self.clock = ManualClock(start_ms=1000)
         self.watch = TargetWatch(
-            clock=self.clock, interval_ms=HEARTBEAT_MS, log=MemoryLog()
+            clock=self.clock, interval_ms=interval_ms, log=MemoryLog()
         )
         self.check = SilenceCheck(
             clock=self.clock, target=self.watch, log=MemoryLog()
@@ -117,6 +117,18 @@
     assert not check.run(1000)
 
 
+@pytest.mark.parametrize('interval_ms', [100, 250])
+def test_pause_of_several_short_intervals(interval_ms: int) -> None:
+    """Guards against flows reset because heartbeats are frequent.
+
+    How long a VM pauses does not depend on them.
+    """
+    check = _Check(interval_ms)
+    check.begin()
+    assert not check.run(2800)
+    assert check.run(400)
+
+
 def test_crashed_target_is_detected_soon() -> None:
     """Guards against clients that wait for a target whose port is closed."""
     cluster, keys = _cluster()
--- a/tests/soak/mutant.py
+++ b/tests/soak/mutant.py
@@ -16,6 +16,7 @@
 from anvilthread.flows.holder_search import HolderSearch
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
+from anvilthread.flows.silence_check import SilenceCheck
 from anvilthread.flows.target_watch import TargetWatch
 
 
@@ -75,6 +76,16 @@
     PacketCodec.from_client = alter
 
 
+def trust_silence() -> None:
+    """Resets the flows of a target that leaves opening packets unanswered."""
+
+    def begin(self, since_ms):
+        self._since_ms = since_ms  # noqa: SLF001
+        self._is_refused = True  # noqa: SLF001
+
+    SilenceCheck.begin = begin
+
+
 def serve_nobody() -> None:
     """Neither places a flow nor searches for its holder."""
     HolderSearch.start = lambda *_args, **_named: None
@@ -89,6 +100,7 @@
         mix_services,
         reset_moved_flows,
         alter_packets,
+        trust_silence,
         serve_nobody,
     )
 }
--- a/tests/soak/test_mutants.py
+++ b/tests/soak/test_mutants.py
@@ -17,6 +17,7 @@
 _DRAIN_FAULTS = ('drain_target', 'drain_target')
 _ROUTE_FAULTS = ('remove_route',)
 _RESTART_FAULTS = ('restart_balancer',)
+_PAUSE_FAULTS = ('pause_each_target',)
 
 
 class _ScriptedFaults:
@@ -50,6 +51,18 @@
         cluster.checker.route_removed_s[EXTRA_PORT] = time.monotonic()
         soak_module.gevent.sleep(4.5)
 
+    def pause_each_target(self) -> None:
+        """Pauses one target after the other, for most of a second.
+
+        The duration of a random pause may be too short for opening packets
+        to stay unanswered.
+        """
+        for target in self._cluster.targets.values():
+            target.pause()
+            soak_module.gevent.sleep(0.8)
+            target.resume()
+            soak_module.gevent.sleep(0.3)
+
 
 def _run_soak(
     mutant: str | None, names: tuple[str, ...], start_limit_s: float
@@ -75,6 +88,7 @@
         ('ignore_new_versions', _ROUTE_FAULTS, 'configuration_never_reverts'),
         ('mix_services', _DRAIN_FAULTS, 'runs_only_what_was_asked'),
         ('reset_moved_flows', _RESTART_FAULTS, 'live_flow_is_not_reset'),
+        ('trust_silence', _PAUSE_FAULTS, 'live_flow_is_not_reset'),
         ('alter_packets', _DRAIN_FAULTS, 'packets_unchanged'),
         ('serve_nobody', (), 'serves_after_recovery'),
     ],
@@ -88,7 +102,7 @@
 
 
 @pytest.mark.parametrize(
-    'names', [_DRAIN_FAULTS, _ROUTE_FAULTS, _RESTART_FAULTS]
+    'names', [_DRAIN_FAULTS, _ROUTE_FAULTS, _RESTART_FAULTS, _PAUSE_FAULTS]
 )
 def test_real_program_violates_no_invariant(names: tuple[str, ...]) -> None:
     """Guards against a check that fails on the unchanged program."""
