--- a/anvilthread/flow_node/agent_process.py
+++ b/anvilthread/flow_node/agent_process.py
@@ -80,8 +80,15 @@
             target=self._target,
             log=process.log,
             counters=process.counters,
-            work_limit=build_work_limit(self._target),
-            opening_limit=build_opening_limit(),
+            work_limit=build_work_limit(process.clock, self._target),
+            opening_limit=build_opening_limit(
+                clock=process.clock,
+                target=self._target,
+                routes=process.routes,
+                service=settings.service,
+                overage=settings.warmup_overage,
+                slack=settings.warmup_slack,
+            ),
         )
         self._was_ejected = False
         self._was_evacuated = False
--- a/standins/flow_cluster.py
+++ b/standins/flow_cluster.py
@@ -230,7 +230,7 @@
             self.agent = FlowAgent(
                 roster=self.roster,
                 target=self.watch,
-                work_limit=build_work_limit(self.watch),
+                work_limit=build_work_limit(self._cluster.clock, self.watch),
                 opening_limit=self._cluster.opening_limit,
                 **parts,
             )
