--- a/benchmarks/pace.py
+++ b/benchmarks/pace.py
@@ -26,12 +26,16 @@
     SojournTime,
     TimedSlowStart,
 )
+from benchmarks.pace_scenario import (
+    DURATION_MS,
+    SCENARIOS,
+    START_MS,
+    PaceScenario,
+)
 from benchmarks.table import print_table
 from standins.paced_target import PacedRequest, PacedTarget
 
 _SEEDS: Final = 5
-_DURATION_MS: Final = 6000
-_START_MS: Final = 1000
 #: Start, in which the backlog is served and a method has to open.
 _OPENING_MS: Final = 1500
 _BACKLOG: Final = 20
@@ -39,85 +43,6 @@
 #: Window in which throughput is compared, and the share that is full.
 _WINDOW_MS: Final = 500
 _FULL_SHARE: Final = 0.95
-_CHANGE_MS: Final = 3000
-#: A flapping target fails in the first 500 ms of every 2 s from 2 s on.
-_FLAP_MS: Final = 2000
-_FLAP_FAILS_MS: Final = 500
-
-
-@dataclass(frozen=True, kw_only=True)
-class _Scenario:
-    """Requests and target.
-
-    Attributes:
-        service_ms: Range of the service time.
-        tail: Share of requests that take seven times as long.
-        said: Slots that the target states, per real one.
-        per_s: Requests per second; 0 for a share of the capacity.
-        slow_after_ms: Time from which on requests take four times as long.
-        cold_ms: Time until which requests take 1.6 times as long.
-        failing: Share of requests that fail.
-        flaps: Whether all requests fail for a quarter of the time.
-        hold_ms: Time for which the transfer of the answer occupies the slot.
-    """
-
-    service_ms: tuple[float, float] = (30, 30)
-    tail: float = 0
-    said: int = 1
-    per_s: float = 0
-    slow_after_ms: int = _DURATION_MS
-    cold_ms: int = 0
-    failing: float = 0
-    flaps: bool = False
-    hold_ms: int = 0
-
-    def draw(self, random: Random, at_ms: int) -> PacedRequest:
-        """Returns a request that arrives at a time after the start."""
-        service_ms = random.uniform(*self.service_ms)
-        if random.random() < self.tail:
-            service_ms *= 7
-        if at_ms >= self.slow_after_ms:
-            service_ms *= 4
-        if at_ms < self.cold_ms:
-            service_ms *= 1.6
-        is_down = (
-            self.flaps
-            and at_ms >= _FLAP_MS
-            and at_ms % _FLAP_MS < _FLAP_FAILS_MS
-        )
-        fails = is_down or random.random() < self.failing
-        return PacedRequest(
-            offered_ms=_START_MS + at_ms,
-            service_ms=2 if fails else max(round(service_ms), 1),
-            hold_ms=self.hold_ms,
-            fails=fails,
-        )
-
-    def mean_ms(self, at_ms: int) -> float:
-        """Mean time for which a request occupies a slot."""
-        factor = 4 if at_ms >= self.slow_after_ms else 1
-        tail = 1 + self.tail * 6
-        return sum(self.service_ms) / 2 * tail * factor + self.hold_ms
-
-
-_SCENARIOS: Final = {
-    '5 ms': _Scenario(service_ms=(5, 5)),
-    '30 ms': _Scenario(),
-    '70 ms': _Scenario(service_ms=(70, 70)),
-    '5 to 70 ms': _Scenario(service_ms=(5, 70)),
-    '13 ms, 3% x7': _Scenario(service_ms=(13, 13), tail=0.03),
-    '30 ms, 3% x7': _Scenario(tail=0.03),
-    'cold for 1 s': _Scenario(tail=0.03, cold_ms=1000),
-    '3 per second': _Scenario(tail=0.03, per_s=3),
-    'speed 0.6': _Scenario(service_ms=(50, 50), tail=0.03),
-    'speed 1.6': _Scenario(service_ms=(19, 19), tail=0.03),
-    'states 4x slots': _Scenario(tail=0.03, said=4),
-    'flaps': _Scenario(tail=0.03, flaps=True),
-    '20% fail': _Scenario(tail=0.03, failing=0.2),
-    'always slow, x4': _Scenario(service_ms=(120, 120), tail=0.03),
-    'turns slow, x4': _Scenario(tail=0.03, slow_after_ms=_CHANGE_MS),
-    'large answers': _Scenario(service_ms=(10, 30), hold_ms=40),
-}
 
 _METHODS: Final[dict[str, Callable[..., WorkLimit]]] = {
     'fixed': FixedLimit,
@@ -173,7 +98,7 @@
         f'{name}, {slots}': [
             _compare(create, scenario, slots) for create in _METHODS.values()
         ]
-        for name, scenario in _SCENARIOS.items()
+        for name, scenario in SCENARIOS.items()
         for slots in (1, 2)
     }
     for title, show in _TABLES.items():
@@ -186,7 +111,7 @@
 
 
 def _compare(
-    create: Callable[..., WorkLimit], scenario: _Scenario, slots: int
+    create: Callable[..., WorkLimit], scenario: PaceScenario, slots: int
 ) -> _Figures:
     runs = [
         (
@@ -203,8 +128,8 @@
             for played, ideal in runs
         ),
         later_ms=mean(
-            _mean_response(played, _OPENING_MS, _DURATION_MS)
-            - _mean_response(ideal, _OPENING_MS, _DURATION_MS)
+            _mean_response(played, _OPENING_MS, DURATION_MS)
+            - _mean_response(ideal, _OPENING_MS, DURATION_MS)
             for played, ideal in runs
         ),
         queued_ms=mean(_wait_at_target(played) for played, _ in runs),
@@ -215,12 +140,12 @@
 
 def _play(
     create: Callable[..., WorkLimit],
-    scenario: _Scenario,
+    scenario: PaceScenario,
     slots: int,
     said: int,
     seed: int,
 ) -> PacedTarget:
-    clock = ManualClock(start_ms=_START_MS)
+    clock = ManualClock(start_ms=START_MS)
     limit = create(clock=clock, target=_make_watch(clock, said))
     target = PacedTarget(clock=clock, limit=limit, slots=slots)
     # Requests and arrivals are drawn apart, so that methods meet the same.
@@ -228,7 +153,7 @@
     offered = [scenario.draw(random, 0) for _ in range(_BACKLOG * slots)]
     if scenario.per_s:
         offered.clear()
-    for at_ms in range(_DURATION_MS):
+    for at_ms in range(DURATION_MS):
         rate = scenario.per_s / 1000
         rate = rate or _LOAD * slots / scenario.mean_ms(at_ms)
         if random.random() < rate:
@@ -256,16 +181,16 @@
 
 def _find_full(played: PacedTarget, ideal: PacedTarget) -> int:
     """Returns when the throughput first equals that of the reference."""
-    for since_ms in range(0, _DURATION_MS - _WINDOW_MS, 20):
+    for since_ms in range(0, DURATION_MS - _WINDOW_MS, 20):
         wanted = _count(ideal, since_ms) * _FULL_SHARE
         if _count(played, since_ms) >= wanted:
             return since_ms
-    return _DURATION_MS
+    return DURATION_MS
 
 
 def _count(target: PacedTarget, since_ms: int) -> int:
     return sum(
-        since_ms <= _answered_ms(request) - _START_MS < since_ms + _WINDOW_MS
+        since_ms <= _answered_ms(request) - START_MS < since_ms + _WINDOW_MS
         for request in target.answered
     )
 
@@ -274,7 +199,7 @@
     times = [
         _answered_ms(request) - request.offered_ms
         for request in target.answered
-        if since_ms <= request.offered_ms - _START_MS < until_ms
+        if since_ms <= request.offered_ms - START_MS < until_ms
     ]
     return mean(times) if times else 0
 
