Try a silent target with two packets only

Every 40 ms, two more waiting packets went to a target that had ended, until it was ejected. It now gets two, and its queue goes back to the balancers once they have stayed unanswered for 100 ms. Tests notice an ejection that keeps the queue, and an aborted request that occupies the limit until it times out.

--- a/anvilthread/flows/opening_admission.py
+++ b/anvilthread/flows/opening_admission.py
@@ -27,6 +27,10 @@
 #: later than 0.6 s and give up after 1.4 s.
 _MAX_WAITED_MS: Final = 10_000
 
+#: Packets above its limit that a silent target gets. Two that stay unanswered
+#: for 100 ms eject it.
+_MAX_TRIALS: Final = 2
+
 
 class OpeningAdmission:
     """Delivers, queues or refuses the opening packets of new flows.
@@ -62,6 +66,7 @@
         '_routes',
         '_send_held',
         '_service',
+        '_trials_left',
         '_was_failing',
         '_waits',
     )
@@ -98,6 +103,8 @@
         self._counters = counters
         self._waits = LatencyBuckets()
         self._was_failing = False
+        #: Packets that a silent target may get above its limit.
+        self._trials_left = _MAX_TRIALS
 
     @property
     def _is_ordered(self) -> bool:
@@ -191,6 +198,7 @@
         is_ejected = is_failing and not self._was_failing
         self._was_failing = is_failing
         if not len(self._queue):
+            self._trials_left = _MAX_TRIALS
             return
         reason = self._condition.refusal
         if not reason and is_ejected:
@@ -199,8 +207,7 @@
             self.return_all(reason)
             return
         self.deliver_waiting()
-        if self._gate.may_try_silent_target:
-            self._deliver_next()
+        self._try_silent_target()
         for opening in self._queue.take_hopeless(
             run_ms=self._gate.run_ms,
             answer_ms=self._gate.answer_ms,
@@ -209,6 +216,17 @@
         ):
             self._return(opening, 'no_room')
 
+    def _try_silent_target(self) -> None:
+        """Delivers packets to a silent target although its limit is used up.
+
+        If they stay unanswered, the target is ejected.
+        """
+        if not self._gate.is_target_silent:
+            self._trials_left = _MAX_TRIALS
+        elif self._trials_left:
+            self._trials_left -= 1
+            self._deliver_next()
+
     def _admit(self, host: str, packet: FlowPacket, message: Place) -> None:
         """Delivers, queues or refuses the packet of an ordered service."""
         waiting = self._queue.get(packet.key)
--- a/anvilthread/flows/opening_gate.py
+++ b/anvilthread/flows/opening_gate.py
@@ -24,10 +24,6 @@
 _SILENT_RUNS: Final = 4
 _MIN_SILENCE_MS: Final = 100
 
-#: Packets above the limit that a silent target gets. Two that stay unanswered
-#: eject it.
-_MAX_TRIALS: Final = 2
-
 _DELIVER: Final = OpeningDecision(action=OpeningAction.DELIVER)
 _REFUSE_COLD: Final = OpeningDecision(
     action=OpeningAction.REFUSE, reason='warming_up'
@@ -76,15 +72,12 @@
         return self._work.requests < self._work_limit.limit
 
     @property
-    def may_try_silent_target(self) -> bool:
-        """Whether a silent target gets a packet although it has no capacity.
+    def is_target_silent(self) -> bool:
+        """Whether the target has sent nothing for longer than it should.
 
         A running target answers an opening packet within a few ms, however
-        busy it is. Without one, a target that ends with as many requests as
-        its limit would only be noticed when its heartbeats stay away.
+        busy it is, but one whose limit is used up gets none.
         """
-        if self._work.requests >= self.limit + _MAX_TRIALS:
-            return False
         silence_ms = max(self.run_ms * _SILENT_RUNS, _MIN_SILENCE_MS)
         return self._work.is_silent(silence_ms)
 
--- a/tests/flows/test_opening_gate.py
+++ b/tests/flows/test_opening_gate.py
@@ -348,28 +348,23 @@
 
 
 @pytest.mark.parametrize(
-    ('run_ms', 'requests', 'silent_ms', 'expected'),
+    ('run_ms', 'silent_ms', 'expected'),
     [
-        (30, 2, 119, False),
-        (30, 2, 120, True),
-        (30, 3, 120, True),
-        # Two packets that stay unanswered eject the target.
-        (30, 4, 500, False),
-        (13, 2, 99, False),
+        (30, 119, False),
+        (30, 120, True),
+        (13, 99, False),
+        (13, 100, True),
         # Long requests are no silence.
-        (400, 2, 1500, False),
+        (400, 1500, False),
     ],
 )
-def test_silent_target_is_tried(
-    run_ms: int, requests: int, silent_ms: int, expected: bool
-) -> None:
+def test_silence(run_ms: int, silent_ms: int, expected: bool) -> None:
     """Guards against a dead target that is not noticed because it is full."""
     clock = ManualClock(start_ms=10_000)
     work = _Work(run_ms=run_ms)
-    work.requests = requests
     work.silent_ms = silent_ms
     gate = _gate(work, OpeningQueue(clock=clock), clock)
-    assert gate.may_try_silent_target == expected
+    assert gate.is_target_silent == expected
 
 
 def test_target_of_unknown_speed_is_not_free() -> None:
--- a/tests/flows/test_waiting_flows.py
+++ b/tests/flows/test_waiting_flows.py
@@ -16,7 +16,7 @@
     FlowNode,
     route_table,
 )
-from standins.plain_packet_codec import PlainPacket
+from standins.plain_packet_codec import PlainPacket, encode_packet
 
 _HIGH_PORT = 80
 _LOW_PORT = 81
@@ -248,17 +248,43 @@
     """
     cluster = _cluster(agents=3, run_ms=100)
     clients = _Clients(cluster)
-    _fill(cluster, clients, 12)
+    _fill(cluster, clients, 18)
     node = max(cluster.agents, key=_waiting)
     waiting = _waiting(node)
-    assert waiting > 1
+    assert waiting > 2
     assert node.target is not None
-    node.target.crash()
-    clients.advance(700)
+    delivered = len(node.log.named('opening_delivered'))
+    node.target.is_up = False
+    clients.advance(600)
     assert not _waiting(node)
-    clients.advance(1000)
+    # Only two packets have left the queue for the target itself.
+    assert len(node.log.named('opening_delivered')) <= delivered + 2
+    clients.advance(1200)
     # Two were at the target when it ended.
-    assert len(clients.answered_ms) >= 10
+    assert len(clients.answered_ms) >= 16
+
+
+@pytest.mark.parametrize('aborter', ['target', 'client'])
+def test_aborted_request_frees_the_target(aborter: str) -> None:
+    """Guards against a target that is idle while packets wait for it.
+
+    A request whose flow is reset gets no answer, and would be counted until
+    it times out after 3 s.
+    """
+    cluster = _cluster(agents=1, run_ms=1000)
+    clients = _Clients(cluster)
+    _fill(cluster, clients, 3)
+    node = cluster.agents[0]
+    assert _waiting(node) == 1
+    assert node.target is not None
+    if aborter == 'client':
+        # The target does not answer the reset.
+        node.target.is_up = False
+        cluster.send_packet(PlainPacket(key=_key(0), flags='R'))
+    else:
+        node.on_target(encode_packet(PlainPacket(key=_key(0), flags='R')))
+    cluster.advance(5)
+    assert not _waiting(node)
 
 
 def test_silent_agent_loses_the_packet() -> None:
