--- a/anvilthread/flow_node/agent_process.py
+++ b/anvilthread/flow_node/agent_process.py
@@ -101,7 +101,7 @@
             counters=self.process.counters,
             latencies={
                 'anvilthread_answer_seconds': agent.latencies,
-                'anvilthread_opening_wait_seconds': agent.openings.waits,
+                'anvilthread_opening_wait_seconds': agent.opening_waits,
             },
             gauges={
                 'anvilthread_flows': lambda: len(agent.flows),
--- a/anvilthread/flows/flow_agent.py
+++ b/anvilthread/flows/flow_agent.py
@@ -15,6 +15,7 @@
 from anvilthread.flows.lost_flows import LostFlows
 from anvilthread.flows.messages import MessageHandlers
 from anvilthread.flows.opening_admission import OpeningAdmission
+from anvilthread.flows.opening_delivery import OpeningDelivery
 from anvilthread.flows.opening_gate import OpeningGate
 from anvilthread.flows.opening_limit import OpeningLimit
 from anvilthread.flows.opening_queue import OpeningQueue
@@ -54,6 +55,7 @@
         '_codec',
         '_condition',
         '_counters',
+        '_delivery',
         '_flows',
         '_latencies',
         '_log',
@@ -141,6 +143,15 @@
             deliver=self._deliver,
             counters=counters,
         )
+        self._delivery = OpeningDelivery(
+            clock=clock,
+            network=network,
+            flows=self._flows,
+            condition=self._condition,
+            opening_limit=opening_limit,
+            log=log,
+            counters=counters,
+        )
         self._openings = OpeningAdmission(
             clock=clock,
             network=network,
@@ -150,7 +161,7 @@
             condition=self._condition,
             queue=queue,
             gate=gate,
-            opening_limit=opening_limit,
+            delivery=self._delivery,
             refusals=OpeningRefusals(
                 network=network, routes=routes, log=log, counters=counters
             ),
@@ -179,6 +190,11 @@
         """Opening packets, from their arrival to the target."""
         return self._openings
 
+    @property
+    def opening_waits(self) -> LatencyBuckets:
+        """Times that opening packets have waited for the target."""
+        return self._delivery.waits
+
     @property
     def handlers(self) -> MessageHandlers:
         """Handler of each type of message to an agent."""
--- a/anvilthread/flows/opening_admission.py
+++ b/anvilthread/flows/opening_admission.py
@@ -11,10 +11,9 @@
 from anvilthread.flows.flow_key import FlowKey, flow_name
 from anvilthread.flows.flow_network import FlowNetwork
 from anvilthread.flows.flow_packet import FlowPacket
-from anvilthread.flows.latency_buckets import LatencyBuckets
 from anvilthread.flows.opening_decision import OpeningAction
+from anvilthread.flows.opening_delivery import OpeningDelivery
 from anvilthread.flows.opening_gate import OpeningGate
-from anvilthread.flows.opening_limit import OpeningLimit
 from anvilthread.flows.opening_refusals import OpeningRefusals
 from anvilthread.flows.opening_queue import OpeningQueue
 from anvilthread.flows.packet_messages import Place, Queued, Withdraw
@@ -44,8 +43,7 @@
         condition: Acceptance of new flows.
         queue: Packets that wait.
         gate: Decides about each packet.
-        opening_limit: Counts the packets that the target receives; None for
-            no limit.
+        delivery: Hands packets to the target.
         refusals: Returns packets to their balancers.
         send_held: Tells a balancer that the target holds a flow.
         log: Receives one line per decision.
@@ -60,7 +58,7 @@
         '_gate',
         '_log',
         '_network',
-        '_opening_limit',
+        '_delivery',
         '_queue',
         '_refusals',
         '_routes',
@@ -68,7 +66,6 @@
         '_service',
         '_trials_left',
         '_was_failing',
-        '_waits',
     )
 
     def __init__(
@@ -82,7 +79,7 @@
         condition: AgentCondition,
         queue: OpeningQueue,
         gate: OpeningGate,
-        opening_limit: OpeningLimit | None,
+        delivery: OpeningDelivery,
         refusals: OpeningRefusals,
         send_held: Callable[[str, FlowKey], None],
         log: Log,
@@ -96,12 +93,11 @@
         self._condition = condition
         self._queue = queue
         self._gate = gate
-        self._opening_limit = opening_limit
+        self._delivery = delivery
         self._refusals = refusals
         self._send_held = send_held
         self._log = log
         self._counters = counters
-        self._waits = LatencyBuckets()
         self._was_failing = False
         #: Packets that a silent target may get above its limit.
         self._trials_left = _MAX_TRIALS
@@ -115,11 +111,6 @@
         """Decides about each packet."""
         return self._gate
 
-    @property
-    def waits(self) -> LatencyBuckets:
-        """Times that packets have waited here for the target, in ms."""
-        return self._waits
-
     def place(self, host: str, packet: FlowPacket, message: Place) -> None:
         """Handles an opening packet that no general reason refuses."""
         flow = self._flows.get(packet.key)
@@ -128,7 +119,7 @@
         elif self._is_ordered:
             self._admit(host, packet, message)
         elif self._gate.has_warmup_room:
-            self._deliver(packet.key, packet.content, host)
+            self._delivery.deliver(packet.key, packet.content, host)
         else:
             self.refuse(host, packet, 'warming_up')
 
@@ -242,8 +233,7 @@
         opening = self._opening(host, packet, message)
         decision = self._gate.decide(opening, message.max_wait_ms)
         if decision.action is OpeningAction.DELIVER:
-            self._waits.observe(0)
-            self._deliver(packet.key, packet.content, host)
+            self._delivery.deliver_ordered(opening)
         elif decision.action is OpeningAction.QUEUE:
             self._enqueue(opening, decision.wait_ms)
         else:
@@ -300,7 +290,7 @@
         if not self._gate.has_warmup_room:
             self._counters.add('opening_copies_dropped')
             return
-        self._send_to_target(packet.content)
+        self._delivery.send(packet.content)
         if self._is_ordered and flow.is_open:
             # The balancer checks a flow whose confirmation was lost.
             self._send_held(host, packet.key)
@@ -310,29 +300,10 @@
         opening = self._queue.take(self._gate.answer_ms)
         if opening is None:
             return
-        if not self._gate.has_warmup_room:
+        if self._gate.has_warmup_room:
+            self._delivery.deliver_queued(opening, len(self._queue))
+        else:
             self._return(opening, 'warming_up')
-            return
-        waited_ms = self._clock.now_ms() - opening.arrived_ms
-        self._waits.observe(waited_ms)
-        self._event(
-            'opening_delivered',
-            opening.key,
-            priority=opening.priority,
-            waited_ms=waited_ms,
-            waiting=len(self._queue),
-        )
-        self._deliver(opening.key, opening.content, opening.balancer)
-
-    def _deliver(self, key: FlowKey, content: bytes, balancer: str) -> None:
-        self._flows.add(key, balancer)
-        self._condition.record_opening(key)
-        self._send_to_target(content)
-
-    def _send_to_target(self, content: bytes) -> None:
-        if self._opening_limit is not None:
-            self._opening_limit.record()
-        self._network.send_to_target(content)
 
     def _event(self, name: str, key: FlowKey, **fields: object) -> None:
         self._counters.add(name)
