--- a/anvilthread/flow_node/agent_process.py
+++ b/anvilthread/flow_node/agent_process.py
@@ -79,8 +79,17 @@
             target=self._target,
             log=process.log,
             counters=process.counters,
-            work_limit=build_work_limit(self._target),
-            opening_limit=build_opening_limit(),
+            work_limit=build_work_limit(
+                clock=process.clock, target=self._target
+            ),
+            opening_limit=build_opening_limit(
+                clock=process.clock,
+                target=self._target,
+                routes=process.routes,
+                service=settings.service,
+                overage=settings.warmup_overage,
+                slack=settings.warmup_slack,
+            ),
         )
         self._was_failing = False
 
--- a/anvilthread/flows/flow_agent.py
+++ b/anvilthread/flows/flow_agent.py
@@ -27,6 +27,7 @@
 from anvilthread.flows.search_messages import Ask, Locate, NotHeld
 from anvilthread.flows.target_offers import TargetOffers
 from anvilthread.flows.target_watch import TargetWatch
+from anvilthread.flows.waiting_openings import WaitingOpenings
 from anvilthread.flows.work_limit import WorkLimit
 from anvilthread.flows.work_observer import WorkObserver
 from anvilthread.telemetry.log import Log
@@ -67,6 +68,7 @@
         '_search_answers',
         '_service',
         '_target',
+        '_waiting',
         '_work',
     )
 
@@ -152,19 +154,27 @@
             log=log,
             counters=counters,
         )
+        refusals = OpeningRefusals(
+            network=network, routes=routes, log=log, counters=counters
+        )
+        self._waiting = WaitingOpenings(
+            condition=self._condition,
+            queue=queue,
+            gate=gate,
+            delivery=self._delivery,
+            refusals=refusals,
+        )
         self._openings = OpeningAdmission(
             clock=clock,
             network=network,
             routes=routes,
             service=self._service,
             flows=self._flows,
-            condition=self._condition,
             queue=queue,
             gate=gate,
+            waiting=self._waiting,
             delivery=self._delivery,
-            refusals=OpeningRefusals(
-                network=network, routes=routes, log=log, counters=counters
-            ),
+            refusals=refusals,
             send_held=self._search_answers.send_held,
             log=log,
             counters=counters,
@@ -214,7 +224,7 @@
     def stop(self) -> None:
         """Refuses all new flows from this call on, and returns waiting ones."""
         self._condition.stop()
-        self._openings.return_all('stopping')
+        self._waiting.return_all('stopping')
 
     def tick(self) -> None:
         """Checks the timeouts of offers and opening packets."""
@@ -224,7 +234,7 @@
         if self._condition.tick():
             self._work.on_failure()
             self._lost_flows.reset('target_silent')
-        self._openings.tick()
+        self._waiting.tick()
 
     def on_place(self, host: str, message: Place) -> None:
         """Delivers an opening packet to the target, or refuses it."""
@@ -292,7 +302,7 @@
             self._condition.health.reset()
         if effect.replaced is not None:
             self._work.restart()
-            self._openings.return_all('target_restarted')
+            self._waiting.return_all('target_restarted')
             if effect.replaced.is_draining:
                 self._condition.health.reset()
             else:
@@ -300,7 +310,7 @@
         if effect.lost_before_ms is not None:
             self._lost_flows.reset_earlier(effect.lost_before_ms)
         if self._condition.refusal:
-            self._openings.return_all(self._condition.refusal)
+            self._waiting.return_all(self._condition.refusal)
         return effect.is_accepted
 
     def on_departure(self, target: str) -> bool:
@@ -314,7 +324,7 @@
         """
         has_stopped = self._target.on_departure(target)
         if has_stopped:
-            self._openings.return_all('target_stopped')
+            self._waiting.return_all('target_stopped')
             self._lost_flows.reset_stopped()
         return has_stopped
 
@@ -364,7 +374,7 @@
             status=status,
             took_ms=latency_ms,
         )
-        self._openings.deliver_waiting()
+        self._waiting.deliver_waiting()
 
     def _recover_flow(
         self, key: FlowKey, balancer: str, is_assumed: bool
@@ -405,7 +415,7 @@
             self._condition.health.record_failure('opening_refused')
             self._work.on_refusal()
             self._openings.refuse(balancer, original, 'target_full')
-            self._openings.deliver_waiting()
+            self._waiting.deliver_waiting()
         else:
             not_held = NotHeld(key=original.key, packet=content)
             self._network.send_to_node(balancer, not_held)
--- a/anvilthread/flows/opening_admission.py
+++ b/anvilthread/flows/opening_admission.py
@@ -4,7 +4,6 @@
 from typing import Final
 
 from anvilthread.clock import Clock
-from anvilthread.flows.agent_condition import AgentCondition
 from anvilthread.flows.agent_flow import AgentFlow
 from anvilthread.flows.agent_flow_table import AgentFlowTable
 from anvilthread.flows.flow_counters import FlowCounters
@@ -20,16 +19,13 @@
 from anvilthread.flows.queued_opening import QueuedOpening
 from anvilthread.flows.route_holder import RouteHolder
 from anvilthread.flows.traffic_class import TrafficClass
+from anvilthread.flows.waiting_openings import WaitingOpenings
 from anvilthread.telemetry.log import Log
 
 #: Longest time that a balancer can know of a packet; clients send no copy
 #: later than 0.6 s and give up after 1.4 s.
 _MAX_WAITED_MS: Final = 10_000
 
-#: Packets above its limit that a silent target gets. Two that stay unanswered
-#: for 100 ms eject it.
-_MAX_TRIALS: Final = 2
-
 
 class OpeningAdmission:
     """Delivers, queues or refuses the opening packets of new flows.
@@ -40,9 +36,9 @@
         routes: Configuration in force.
         service: Service of the target.
         flows: Flows of the target.
-        condition: Acceptance of new flows.
         queue: Packets that wait.
         gate: Decides about each packet.
+        waiting: Delivers or returns the packets that wait.
         delivery: Hands packets to the target.
         refusals: Returns packets to their balancers.
         send_held: Tells a balancer that the target holds a flow.
@@ -52,7 +48,6 @@
 
     __slots__ = (
         '_clock',
-        '_condition',
         '_counters',
         '_flows',
         '_gate',
@@ -64,8 +59,7 @@
         '_routes',
         '_send_held',
         '_service',
-        '_trials_left',
-        '_was_failing',
+        '_waiting',
     )
 
     def __init__(
@@ -76,9 +70,9 @@
         routes: RouteHolder,
         service: str,
         flows: AgentFlowTable,
-        condition: AgentCondition,
         queue: OpeningQueue,
         gate: OpeningGate,
+        waiting: WaitingOpenings,
         delivery: OpeningDelivery,
         refusals: OpeningRefusals,
         send_held: Callable[[str, FlowKey], None],
@@ -90,7 +84,6 @@
         self._routes = routes
         self._service = service
         self._flows = flows
-        self._condition = condition
         self._queue = queue
         self._gate = gate
         self._delivery = delivery
@@ -98,9 +91,7 @@
         self._send_held = send_held
         self._log = log
         self._counters = counters
-        self._was_failing = False
-        #: Packets that a silent target may get above its limit.
-        self._trials_left = _MAX_TRIALS
+        self._waiting = waiting
 
     @property
     def _is_ordered(self) -> bool:
@@ -161,62 +152,13 @@
         """
         if (packet.is_fin or packet.is_reset) and self._is_ordered:
             self._flows.end_request(flow)
-            self.deliver_waiting()
+            self._waiting.deliver_waiting()
 
     def on_abort(self, packet: FlowPacket, flow: AgentFlow) -> None:
         """Handles a packet of the client, which may abort its request."""
         if packet.is_reset and self._is_ordered:
             self._flows.end_request(flow)
-            self.deliver_waiting()
-
-    def deliver_waiting(self) -> None:
-        """Delivers waiting packets while the target has capacity."""
-        while len(self._queue) and self._gate.has_work_room:
-            self._deliver_next()
-
-    def return_all(self, reason: str) -> None:
-        """Returns every waiting packet to its balancer.
-
-        Args:
-            reason: Why this agent cannot serve them.
-        """
-        for opening in self._queue.take_all():
-            self._return(opening, reason)
-
-    def tick(self) -> None:
-        """Delivers or returns waiting packets; called every 20 ms."""
-        is_failing = self._condition.health.is_failing
-        is_ejected = is_failing and not self._was_failing
-        self._was_failing = is_failing
-        if not len(self._queue):
-            self._trials_left = _MAX_TRIALS
-            return
-        reason = self._condition.refusal
-        if not reason and is_ejected:
-            reason = 'target_failing'
-        if reason:
-            self.return_all(reason)
-            return
-        self.deliver_waiting()
-        self._try_silent_target()
-        for opening in self._queue.take_hopeless(
-            run_ms=self._gate.run_ms,
-            answer_ms=self._gate.answer_ms,
-            above=self._gate.requests_above_slots,
-            slots=self._gate.slots,
-        ):
-            self._return(opening, 'no_room')
-
-    def _try_silent_target(self) -> None:
-        """Delivers packets to a silent target although its limit is used up.
-
-        If they stay unanswered, the target is ejected.
-        """
-        if not self._gate.is_target_silent:
-            self._trials_left = _MAX_TRIALS
-        elif self._trials_left:
-            self._trials_left -= 1
-            self._deliver_next()
+            self._waiting.deliver_waiting()
 
     def _admit(self, host: str, packet: FlowPacket, message: Place) -> None:
         """Delivers, queues or refuses the packet of an ordered service."""
@@ -229,7 +171,7 @@
             )
             return
         # A new flow that has not sent its request in time no longer counts.
-        self.deliver_waiting()
+        self._waiting.deliver_waiting()
         opening = self._opening(host, packet, message)
         decision = self._gate.decide(opening, message.max_wait_ms)
         if decision.action is OpeningAction.DELIVER:
@@ -237,7 +179,7 @@
         elif decision.action is OpeningAction.QUEUE:
             self._enqueue(opening, decision.wait_ms)
         else:
-            self._return(opening, decision.reason)
+            self._waiting.return_one(opening, decision.reason)
 
     def _opening(
         self, host: str, packet: FlowPacket, message: Place
@@ -273,16 +215,7 @@
         )
         displaced = self._queue.take_displaced(self._gate.answer_ms)
         if displaced is not None:
-            self._return(displaced, 'no_room')
-
-    def _return(self, opening: QueuedOpening, reason: str) -> None:
-        self._refusals.send(
-            opening.balancer,
-            opening.key,
-            opening.content,
-            reason,
-            self._gate.expected_wait_ms(opening.priority),
-        )
+            self._waiting.return_one(displaced, 'no_room')
 
     def _repeat(self, host: str, packet: FlowPacket, flow: AgentFlow) -> None:
         """Sends the target a copy of a packet that it has received."""
@@ -295,16 +228,6 @@
             # The balancer checks a flow whose confirmation was lost.
             self._send_held(host, packet.key)
 
-    def _deliver_next(self) -> None:
-        """Delivers the first waiting packet, if any."""
-        opening = self._queue.take(self._gate.answer_ms)
-        if opening is None:
-            return
-        if self._gate.has_warmup_room:
-            self._delivery.deliver_queued(opening, len(self._queue))
-        else:
-            self._return(opening, 'warming_up')
-
     def _event(self, name: str, key: FlowKey, **fields: object) -> None:
         self._counters.add(name)
         self._log.event(name, flow=flow_name(key), **fields)
--- a/standins/flow_cluster.py
+++ b/standins/flow_cluster.py
@@ -214,7 +214,9 @@
             self.agent = FlowAgent(
                 roster=self.roster,
                 target=self.watch,
-                work_limit=build_work_limit(self.watch),
+                work_limit=build_work_limit(
+                    clock=self._cluster.clock, target=self.watch
+                ),
                 opening_limit=self._cluster.opening_limit,
                 **parts,
             )
