--- a/anvilthread/flow_node/agent_process.py
+++ b/anvilthread/flow_node/agent_process.py
@@ -80,7 +80,9 @@
             target=self._target,
             log=process.log,
             counters=process.counters,
-            work_limit=build_work_limit(process.clock, self._target),
+            work_limit=build_work_limit(
+                clock=process.clock, target=self._target
+            ),
             opening_limit=build_opening_limit(
                 clock=process.clock,
                 target=self._target,
@@ -111,7 +113,7 @@
             counters=self.process.counters,
             latencies={
                 'anvilthread_answer_seconds': agent.latencies,
-                'anvilthread_opening_wait_seconds': agent.openings.waits,
+                'anvilthread_opening_wait_seconds': agent.opening_waits,
             },
             gauges={
                 'anvilthread_flows': lambda: len(agent.flows),
--- a/anvilthread/flows/agent_limits.py
+++ b/anvilthread/flows/agent_limits.py
@@ -9,8 +9,13 @@
 from anvilthread.flows.work_limit import WorkLimit
 
 
-def build_work_limit(clock: Clock, target: TargetWatch) -> WorkLimit:
-    """Returns the limit on the requests at a target."""
+def build_work_limit(*, clock: Clock, target: TargetWatch) -> WorkLimit:
+    """Returns the limit on the requests at a target.
+
+    Args:
+        clock: Source of time.
+        target: State of the target.
+    """
     return PaceLimit(clock=clock, target=target)
 
 
--- a/anvilthread/flows/opening_admission.py
+++ b/anvilthread/flows/opening_admission.py
@@ -4,23 +4,22 @@
 from typing import Final
 
 from anvilthread.clock import Clock
-from anvilthread.flows.agent_condition import AgentCondition
 from anvilthread.flows.agent_flow import AgentFlow
 from anvilthread.flows.agent_flow_table import AgentFlowTable
 from anvilthread.flows.flow_counters import FlowCounters
 from anvilthread.flows.flow_key import FlowKey, flow_name
 from anvilthread.flows.flow_network import FlowNetwork
 from anvilthread.flows.flow_packet import FlowPacket
-from anvilthread.flows.latency_buckets import LatencyBuckets
 from anvilthread.flows.opening_decision import OpeningAction
+from anvilthread.flows.opening_delivery import OpeningDelivery
 from anvilthread.flows.opening_gate import OpeningGate
-from anvilthread.flows.opening_limit import OpeningLimit
 from anvilthread.flows.opening_refusals import OpeningRefusals
 from anvilthread.flows.opening_queue import OpeningQueue
 from anvilthread.flows.packet_messages import Place, Queued, Withdraw
 from anvilthread.flows.queued_opening import QueuedOpening
 from anvilthread.flows.route_holder import RouteHolder
 from anvilthread.flows.traffic_class import TrafficClass
+from anvilthread.flows.waiting_openings import WaitingOpenings
 from anvilthread.telemetry.log import Log
 
 #: Longest time that a balancer can know of a packet; clients send no copy
@@ -37,11 +36,10 @@
         routes: Configuration in force.
         service: Service of the target.
         flows: Flows of the target.
-        condition: Acceptance of new flows.
         queue: Packets that wait.
         gate: Decides about each packet.
-        opening_limit: Counts the packets that the target receives; None for
-            no limit.
+        waiting: Delivers or returns the packets that wait.
+        delivery: Hands packets to the target.
         refusals: Returns packets to their balancers.
         send_held: Tells a balancer that the target holds a flow.
         log: Receives one line per decision.
@@ -50,20 +48,18 @@
 
     __slots__ = (
         '_clock',
-        '_condition',
         '_counters',
         '_flows',
         '_gate',
         '_log',
         '_network',
-        '_opening_limit',
+        '_delivery',
         '_queue',
         '_refusals',
         '_routes',
         '_send_held',
         '_service',
-        '_was_failing',
-        '_waits',
+        '_waiting',
     )
 
     def __init__(
@@ -74,10 +70,10 @@
         routes: RouteHolder,
         service: str,
         flows: AgentFlowTable,
-        condition: AgentCondition,
         queue: OpeningQueue,
         gate: OpeningGate,
-        opening_limit: OpeningLimit | None,
+        waiting: WaitingOpenings,
+        delivery: OpeningDelivery,
         refusals: OpeningRefusals,
         send_held: Callable[[str, FlowKey], None],
         log: Log,
@@ -88,16 +84,14 @@
         self._routes = routes
         self._service = service
         self._flows = flows
-        self._condition = condition
         self._queue = queue
         self._gate = gate
-        self._opening_limit = opening_limit
+        self._delivery = delivery
         self._refusals = refusals
         self._send_held = send_held
         self._log = log
         self._counters = counters
-        self._waits = LatencyBuckets()
-        self._was_failing = False
+        self._waiting = waiting
 
     @property
     def _is_ordered(self) -> bool:
@@ -108,11 +102,6 @@
         """Decides about each packet."""
         return self._gate
 
-    @property
-    def waits(self) -> LatencyBuckets:
-        """Times that packets have waited here for the target, in ms."""
-        return self._waits
-
     def place(self, host: str, packet: FlowPacket, message: Place) -> None:
         """Handles an opening packet that no general reason refuses."""
         flow = self._flows.get(packet.key)
@@ -121,7 +110,7 @@
         elif self._is_ordered:
             self._admit(host, packet, message)
         elif self._gate.has_warmup_room:
-            self._deliver(packet.key, packet.content, host)
+            self._delivery.deliver(packet.key, packet.content, host)
         else:
             self.refuse(host, packet, 'warming_up')
 
@@ -163,51 +152,13 @@
         """
         if (packet.is_fin or packet.is_reset) and self._is_ordered:
             self._flows.end_request(flow)
-            self.deliver_waiting()
+            self._waiting.deliver_waiting()
 
     def on_abort(self, packet: FlowPacket, flow: AgentFlow) -> None:
         """Handles a packet of the client, which may abort its request."""
         if packet.is_reset and self._is_ordered:
             self._flows.end_request(flow)
-            self.deliver_waiting()
-
-    def deliver_waiting(self) -> None:
-        """Delivers waiting packets while the target has capacity."""
-        while len(self._queue) and self._gate.has_work_room:
-            self._deliver_next()
-
-    def return_all(self, reason: str) -> None:
-        """Returns every waiting packet to its balancer.
-
-        Args:
-            reason: Why this agent cannot serve them.
-        """
-        for opening in self._queue.take_all():
-            self._return(opening, reason)
-
-    def tick(self) -> None:
-        """Delivers or returns waiting packets; called every 20 ms."""
-        is_failing = self._condition.health.is_failing
-        is_ejected = is_failing and not self._was_failing
-        self._was_failing = is_failing
-        if not len(self._queue):
-            return
-        reason = self._condition.refusal
-        if not reason and is_ejected:
-            reason = 'target_failing'
-        if reason:
-            self.return_all(reason)
-            return
-        self.deliver_waiting()
-        if self._gate.may_try_silent_target:
-            self._deliver_next()
-        for opening in self._queue.take_hopeless(
-            run_ms=self._gate.run_ms,
-            answer_ms=self._gate.answer_ms,
-            above=self._gate.requests_above_slots,
-            slots=self._gate.slots,
-        ):
-            self._return(opening, 'no_room')
+            self._waiting.deliver_waiting()
 
     def _admit(self, host: str, packet: FlowPacket, message: Place) -> None:
         """Delivers, queues or refuses the packet of an ordered service."""
@@ -220,16 +171,15 @@
             )
             return
         # A new flow that has not sent its request in time no longer counts.
-        self.deliver_waiting()
+        self._waiting.deliver_waiting()
         opening = self._opening(host, packet, message)
         decision = self._gate.decide(opening, message.max_wait_ms)
         if decision.action is OpeningAction.DELIVER:
-            self._waits.observe(0)
-            self._deliver(packet.key, packet.content, host)
+            self._delivery.deliver_ordered(opening)
         elif decision.action is OpeningAction.QUEUE:
             self._enqueue(opening, decision.wait_ms)
         else:
-            self._return(opening, decision.reason)
+            self._waiting.return_one(opening, decision.reason)
 
     def _opening(
         self, host: str, packet: FlowPacket, message: Place
@@ -265,16 +215,7 @@
         )
         displaced = self._queue.take_displaced(self._gate.answer_ms)
         if displaced is not None:
-            self._return(displaced, 'no_room')
-
-    def _return(self, opening: QueuedOpening, reason: str) -> None:
-        self._refusals.send(
-            opening.balancer,
-            opening.key,
-            opening.content,
-            reason,
-            self._gate.expected_wait_ms(opening.priority),
-        )
+            self._waiting.return_one(displaced, 'no_room')
 
     def _repeat(self, host: str, packet: FlowPacket, flow: AgentFlow) -> None:
         """Sends the target a copy of a packet that it has received."""
@@ -282,40 +223,11 @@
         if not self._gate.has_warmup_room:
             self._counters.add('opening_copies_dropped')
             return
-        self._send_to_target(packet.content)
+        self._delivery.send(packet.content)
         if self._is_ordered and flow.is_open:
             # The balancer checks a flow whose confirmation was lost.
             self._send_held(host, packet.key)
 
-    def _deliver_next(self) -> None:
-        """Delivers the first waiting packet, if any."""
-        opening = self._queue.take(self._gate.answer_ms)
-        if opening is None:
-            return
-        if not self._gate.has_warmup_room:
-            self._return(opening, 'warming_up')
-            return
-        waited_ms = self._clock.now_ms() - opening.arrived_ms
-        self._waits.observe(waited_ms)
-        self._event(
-            'opening_delivered',
-            opening.key,
-            priority=opening.priority,
-            waited_ms=waited_ms,
-            waiting=len(self._queue),
-        )
-        self._deliver(opening.key, opening.content, opening.balancer)
-
-    def _deliver(self, key: FlowKey, content: bytes, balancer: str) -> None:
-        self._flows.add(key, balancer)
-        self._condition.record_opening(key)
-        self._send_to_target(content)
-
-    def _send_to_target(self, content: bytes) -> None:
-        if self._opening_limit is not None:
-            self._opening_limit.record()
-        self._network.send_to_target(content)
-
     def _event(self, name: str, key: FlowKey, **fields: object) -> None:
         self._counters.add(name)
         self._log.event(name, flow=flow_name(key), **fields)
