Fill the target by its adaptive limit in the test of an aborted request

The limit of a target that has just started is its slots, not twice as many, so two packets leave one waiting. The test checks the same as before.

--- a/tests/flows/test_waiting_flows.py
+++ b/tests/flows/test_waiting_flows.py
@@ -273,7 +273,7 @@
     """
     cluster = _cluster(agents=1, run_ms=1000)
     clients = _Clients(cluster)
-    _fill(cluster, clients, 3)
+    _fill(cluster, clients, 2)
     node = cluster.agents[0]
     assert _waiting(node) == 1
     assert node.target is not None
