--- a/anvilthread/flows/flow_placement.py
+++ b/anvilthread/flows/flow_placement.py
@@ -64,26 +64,26 @@
         agents = [
             node
             for node in self._roster.agents(service)
-            if node.accepts
-            and node.host not in excluded
-            and not self._is_evacuated(node)
+            if node.accepts and node.host not in excluded
         ]
+        sites = self._evacuated_sites
+        if sites:
+            agents = [it for it in agents if it.record.site not in sites]
         fresh = [node for node in agents if node.is_fresh(now_ms)]
         usable = _without_failing(fresh or agents)
         if not usable:
             return None
         chosen = min(rank_agents(key, usable)[:CANDIDATES], key=_load)
         chosen.count_send()
-        if self._counters is not None and self._is_evacuated(chosen):
+        if self._counters is not None and chosen.record.site in sites:
             # Shows a fault of this class, whatever the choice depends on.
             self._counters.add('flow_placed_evacuated')
         return chosen
 
-    def _is_evacuated(self, node: KnownNode) -> bool:
+    @property
+    def _evacuated_sites(self) -> frozenset[str]:
         evacuations = self._evacuations
-        return evacuations is not None and (
-            node.record.site in evacuations.sites
-        )
+        return frozenset() if evacuations is None else evacuations.sites
 
 
 def _without_failing(agents: list[KnownNode]) -> list[KnownNode]:
