--- a/tests/soak/test_invariant_checker.py
+++ b/tests/soak/test_invariant_checker.py
@@ -89,4 +89,4 @@
     checker = _checker()
     checker.record_fault(1.0)
     checker.on_reset(_flow())
-    assert checker.violations == []
+    assert not checker.violations
