--- a/anvilthread/flow_node/agent_process.py
+++ b/anvilthread/flow_node/agent_process.py
@@ -6,6 +6,10 @@
 from anvilthread.flow_node.flow_node_settings import FlowNodeSettings
 from anvilthread.flow_node.flow_process import FlowProcess
 from anvilthread.flow_node.target_probe import is_listening
+from anvilthread.flows.agent_limits import (
+    build_opening_limit,
+    build_work_limit,
+)
 from anvilthread.flows.configuration_source import ConfigurationSource
 from anvilthread.flows.flow_agent import FlowAgent
 from anvilthread.flows.flow_packet_codec import FlowPacketCodec
@@ -48,8 +52,8 @@
         '_agent',
         '_codec',
         '_target',
+        '_was_ejected',
         '_was_evacuated',
-        '_was_failing',
         'process',
     )
 
@@ -76,8 +80,17 @@
             target=self._target,
             log=process.log,
             counters=process.counters,
+            work_limit=build_work_limit(process.clock, self._target),
+            opening_limit=build_opening_limit(
+                clock=process.clock,
+                target=self._target,
+                routes=process.routes,
+                service=settings.service,
+                overage=settings.warmup_overage,
+                slack=settings.warmup_slack,
+            ),
         )
-        self._was_failing = False
+        self._was_ejected = False
         self._was_evacuated = False
         process.routes.evacuations.subscribe(self._on_evacuation)
 
@@ -96,12 +109,19 @@
         agent = self._agent
         return FlowMetrics(
             counters=self.process.counters,
-            latencies={'anvilthread_answer_seconds': agent.latencies},
+            latencies={
+                'anvilthread_answer_seconds': agent.latencies,
+                'anvilthread_opening_wait_seconds': agent.openings.waits,
+            },
             gauges={
                 'anvilthread_flows': lambda: len(agent.flows),
                 'anvilthread_requests_working': lambda: (
                     agent.flows.meter.working
                 ),
+                'anvilthread_openings_waiting': lambda: (
+                    agent.openings.gate.waiting
+                ),
+                'anvilthread_work_limit': lambda: agent.openings.gate.limit,
                 **self.process.gauges(),
             },
         )
@@ -126,7 +146,7 @@
         """Waits for SIGTERM; returns once the process may exit."""
         process = self.process
         process.stop_requested.wait()
-        self._agent.condition.stop()
+        self._agent.stop()
         process.log.event('process_stopping', flows=len(self._agent.flows))
         if not self._target.is_alive:
             self._probe_target()
@@ -169,11 +189,26 @@
         if listens is not None:
             self._target.on_probe(is_listening=listens)
 
+    def _probe_silent_target(self) -> None:
+        """Finds out whether a target that does not answer has ended."""
+        endpoint = self.process.settings.target_address
+        silence = self._agent.condition.silence
+        listens: bool | None = None
+        silence.start_probe()
+        try:
+            if endpoint is not None:
+                listens = is_listening(endpoint)
+        finally:
+            silence.finish_probe(is_listening=listens)
+
     def _tick(self) -> None:
         self._agent.tick()
-        is_failing = self._agent.condition.health.is_failing
-        if is_failing != self._was_failing:
-            self._was_failing = is_failing
+        if self._agent.condition.needs_probe:
+            # A probe takes up to 0.2 s, so packets go on beside it.
+            self.process.tasks.run(self._probe_silent_target)
+        is_ejected = self._agent.condition.is_ejected
+        if is_ejected != self._was_ejected:
+            self._was_ejected = is_ejected
             self._report_to_all_balancers()
 
     def _on_evacuation(self) -> None:
--- a/anvilthread/flows/agent_condition.py
+++ b/anvilthread/flows/agent_condition.py
@@ -3,15 +3,21 @@
 from collections import deque
 from typing import Final
 
+import msgspec
+
 from anvilthread.clock import Clock
 from anvilthread.flows.active_time import ActiveTime
 from anvilthread.flows.agent_flow_table import AgentFlowTable
 from anvilthread.flows.flow_key import FlowKey
 from anvilthread.flows.node_messages import LoadReport
 from anvilthread.flows.node_record import NodeRecord
+from anvilthread.flows.opening_gate import OpeningGate
 from anvilthread.flows.route_holder import RouteHolder
+from anvilthread.flows.silence_check import SilenceCheck
 from anvilthread.flows.target_health import TargetHealth
 from anvilthread.flows.target_watch import TargetWatch
+from anvilthread.flows.traffic_class import LOWEST_PRIORITY
+from anvilthread.flows.work_observer import WorkObserver
 from anvilthread.telemetry.log import Log
 
 #: Time for which a target may send nothing after an opening packet before
@@ -19,7 +25,7 @@
 #: few ms, however busy it is.
 _OPENING_TIMEOUT_MS: Final = 100
 
-#: Unanswered opening packets after which a target counts as dead; a single
+#: Unanswered opening packets after which a target counts as silent; a single
 #: one could have been lost.
 _MIN_UNANSWERED_OPENINGS: Final = 2
 
@@ -33,6 +39,8 @@
         routes: Configuration and evacuated sites in force.
         flows: Flows of the target.
         target: State of the target, from its heartbeats and packets.
+        gate: Decides about opening packets, for the expected wait.
+        work: Learns of unanswered requests.
         log: Receives each change.
     """
 
@@ -41,14 +49,17 @@
         '_agent',
         '_clock',
         '_flows',
+        '_gate',
         '_health',
         '_is_stopping',
         '_pending_openings',
         '_routes',
         '_sequence',
+        '_silence',
         '_started_ms',
         '_target',
         '_unanswered_openings',
+        '_work',
     )
 
     def __init__(
@@ -59,6 +70,8 @@
         routes: RouteHolder,
         flows: AgentFlowTable,
         target: TargetWatch,
+        gate: OpeningGate,
+        work: WorkObserver,
         log: Log,
     ) -> None:
         self._clock = clock
@@ -66,7 +79,10 @@
         self._routes = routes
         self._flows = flows
         self._target = target
+        self._gate = gate
+        self._work = work
         self._health = TargetHealth(clock=clock, log=log)
+        self._silence = SilenceCheck(clock=clock, target=target, log=log)
         self._pending_openings: deque[tuple[int, int, FlowKey]] = deque()
         self._started_ms = clock.now_ms()
         self._active_time = ActiveTime(clock=clock)
@@ -85,11 +101,36 @@
         """Whether the site of the agent is evacuated."""
         return self._agent.site in self._routes.evacuations.sites
 
+    @property
+    def is_ejected(self) -> bool:
+        """Whether new flows are to be placed elsewhere, if there is room.
+
+        Before its first heartbeat, the target may be draining without this
+        process knowing.
+        """
+        return self._health.is_failing or not self._target.was_heard
+
     @property
     def health(self) -> TargetHealth:
         """Outlier detection by the outcomes of the target's requests."""
         return self._health
 
+    @property
+    def silence(self) -> SilenceCheck:
+        """Search for proof that a silent target has ended."""
+        return self._silence
+
+    @property
+    def needs_probe(self) -> bool:
+        """Whether the port of the target is to be probed now.
+
+        Only flows that the target has shown or was assumed to hold depend on
+        the result.
+        """
+        return self._silence.is_probe_due and any(
+            flow.is_open or flow.is_assumed for _, flow in self._flows.items()
+        )
+
     @property
     def refusal(self) -> str:
         """Why every new flow is refused; empty if new flows are accepted."""
@@ -112,23 +153,17 @@
             period_ms: Maximum time until the next report.
         """
         self._sequence += 1
-        return LoadReport(
-            node=self._agent,
-            sequence=self._sequence,
-            accepts=self.accepts,
-            working=self._flows.meter.working
-            + self._flows.awaiting_first_request,
-            busy=round(self._flows.meter.mean, 3),
-            flows=self._flows.reused_flows,
-            period_ms=period_ms,
-            slots=self._target.slots,
-            cold_ms=self._target.cold_ms,
-            version=self._routes.table.version,
-            check_age_ms=self._routes.check_age_ms,
-            is_failing=self._health.is_failing,
-            uptime_ms=self._clock.now_ms() - self._started_ms,
-            has_new_target=self._target.saw_target_start
-            or self._target.is_absent,
+        table = self._routes.table
+        report = self._basic_report(period_ms)
+        if not table.orders_by_priority(self._agent.service):
+            return report
+        gate = self._gate
+        return msgspec.structs.replace(
+            report,
+            run_ms=round(gate.known_run_ms, 1),
+            wait_ms=gate.expected_wait_ms(LOWEST_PRIORITY),
+            waiting=gate.waiting,
+            limit=gate.limit,
         )
 
     def record_opening(self, key: FlowKey) -> None:
@@ -141,8 +176,8 @@
         """Checks for opening packets that the target has not answered.
 
         Returns:
-            Whether enough are unanswered for the target to count as dead and
-            its flows as lost.
+            Whether the target has been proved to have ended, so that its flows
+            are lost. Unanswered packets alone only eject it.
         """
         self._active_time.tick()
         due_ms = self._active_time.elapsed_ms - _OPENING_TIMEOUT_MS
@@ -156,13 +191,36 @@
             for placed_ms in self._unanswered_openings
             if not self._target.is_seen_since(placed_ms)
         ]
-        if len(self._unanswered_openings) < _MIN_UNANSWERED_OPENINGS:
-            return False
-        self._unanswered_openings.clear()
-        self._health.record_silence()
-        return True
+        if len(self._unanswered_openings) >= _MIN_UNANSWERED_OPENINGS:
+            self._silence.begin(min(self._unanswered_openings))
+            self._unanswered_openings.clear()
+            self._health.record_silence()
+        return self._silence.tick()
 
     def sweep(self) -> None:
         """Removes expired flows, and times out unanswered requests."""
         for _ in range(self._flows.sweep()):
             self._health.record_failure('request_unanswered')
+            self._work.on_failure()
+
+    def _basic_report(self, period_ms: int) -> LoadReport:
+        """Describes the load, without the wait for the target."""
+        return LoadReport(
+            node=self._agent,
+            sequence=self._sequence,
+            accepts=self.accepts,
+            working=self._flows.meter.working
+            + self._flows.awaiting_first_request,
+            busy=round(self._flows.meter.mean, 3),
+            flows=self._flows.reused_flows,
+            period_ms=period_ms,
+            slots=self._target.slots,
+            cold_ms=self._target.cold_ms,
+            version=self._routes.table.version,
+            check_age_ms=self._routes.check_age_ms,
+            is_failing=self._health.is_failing,
+            uptime_ms=self._clock.now_ms() - self._started_ms,
+            has_new_target=self._target.saw_target_start
+            or self._target.is_absent,
+            knows_target=self._target.was_heard,
+        )
--- a/anvilthread/flows/node_messages.py
+++ b/anvilthread/flows/node_messages.py
@@ -31,6 +31,7 @@
         waiting: Opening packets that wait at the agent.
         limit: Requests that the agent lets into its target at a time; 0 if it
             does not limit them.
+        knows_target: Whether a heartbeat has told whether the target drains.
     """
 
     node: NodeRecord
@@ -51,6 +52,7 @@
     wait_ms: int = 0
     waiting: int = 0
     limit: int = 0
+    knows_target: bool = True
 
 
 class Hello(Message, frozen=True, tag=10):
--- a/standins/flow_cluster.py
+++ b/standins/flow_cluster.py
@@ -3,11 +3,12 @@
 import heapq
 import itertools
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
 from typing import Any
 
 from anvilthread.clock import ManualClock
+from anvilthread.flows.agent_limits import build_work_limit
 from anvilthread.flows.evacuation_holder import EvacuationHolder
 from anvilthread.flows.evacuation_view import EvacuationView
 from anvilthread.flows.fleet_view import FleetView
@@ -22,12 +23,14 @@
 from anvilthread.flows.message_codec import decode_message, encode_message
 from anvilthread.flows.messages import AnyMessage, MessageHandlers
 from anvilthread.flows.node_record import NodeRecord, NodeRole
+from anvilthread.flows.opening_limit import OpeningLimit
 from anvilthread.flows.peer_messages import PeerMessages
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
 from anvilthread.flows.route_table import Route, RouteTable, ServiceShare
 from anvilthread.flows.store_era import StoreEra
 from anvilthread.flows.target_watch import TargetWatch
+from anvilthread.flows.traffic_class import TrafficClass
 from anvilthread.telemetry.memory_log import MemoryLog
 from standins.flow_target import FlowTarget
 from standins.plain_packet_codec import (
@@ -49,9 +52,20 @@
 
 
 def route_table(
-    version: int, ports: dict[int, str], idle_ms: int = 15_000
+    version: int,
+    ports: dict[int, str],
+    idle_ms: int = 15_000,
+    traffic: Mapping[int, TrafficClass] | None = None,
 ) -> RouteTable:
-    """Builds a configuration with a route for each port."""
+    """Builds a configuration with a route for each port.
+
+    Args:
+        version: Its version.
+        ports: Service behind each port.
+        idle_ms: Time after which an idle flow may be removed.
+        traffic: What routes require of their requests, by port.
+    """
+    classes = {} if traffic is None else traffic
     return RouteTable(
         version=version,
         idle_ms=idle_ms,
@@ -60,6 +74,7 @@
             pack_endpoint(SERVICE_HOST, port): Route(
                 name=f'route-{port}',
                 shares=(ServiceShare(service=service, weight=1),),
+                traffic=classes.get(port, TrafficClass()),
             )
             for port, service in ports.items()
         },
@@ -125,6 +140,8 @@
         self.balancer: FlowBalancer | None = None
         self.agent: FlowAgent | None = None
         self.target: FlowTarget | None = None
+        #: Times at which the port of the target was probed.
+        self.probes_ms: list[int] = []
         self.watch = TargetWatch(
             clock=cluster.clock, interval_ms=HEARTBEAT_MS, log=self.log
         )
@@ -177,7 +194,7 @@
             service=target.service,
             sequence=target.sequence,
             is_draining=target.is_draining,
-            slots=2,
+            slots=target.slots,
             cold_ms=target.cold_ms,
         )
         if self.agent is None or self.agent.on_heartbeat(heartbeat):
@@ -194,6 +211,7 @@
             self.balancer.tick()
         if self.agent is not None:
             self.agent.tick()
+            self._probe_silent_target(self.agent)
         if self._now() % HELLO_INTERVAL_MS == 0:
             self.introducer.tick()
             self.evacuations.tick(lambda: self.roster.sites)
@@ -210,7 +228,11 @@
         }
         if self.record.role == NodeRole.AGENT:
             self.agent = FlowAgent(
-                roster=self.roster, target=self.watch, **parts
+                roster=self.roster,
+                target=self.watch,
+                work_limit=build_work_limit(self._cluster.clock, self.watch),
+                opening_limit=self._cluster.opening_limit,
+                **parts,
             )
             self._handlers = self.agent.handlers
             return
@@ -228,6 +250,18 @@
         self.roster.subscribe(self.balancer.on_node_started)
         self._handlers = self.balancer.handlers
 
+    def _probe_silent_target(self, agent: FlowAgent) -> None:
+        target = self.target
+        if target is None or not agent.condition.needs_probe:
+            return
+        silence = agent.condition.silence
+        silence.start_probe()
+        self.probes_ms.append(self._now())
+        is_listening = target.is_listening
+        self._cluster.schedule(
+            HOP_MS, lambda: silence.finish_probe(is_listening=is_listening)
+        )
+
     def _send_reports(self) -> None:
         if self.agent is not None:
             report = self.agent.condition.report(HELLO_INTERVAL_MS)
@@ -243,11 +277,18 @@
     def _deliver_to_target(self, target: FlowTarget, content: bytes) -> None:
         answer = target.handle_packet(content)
         if answer is not None:
-            self._cluster.schedule(
-                HOP_MS, lambda: self._deliver_from_target(answer)
-            )
+            self._cluster.schedule(HOP_MS, lambda: self.on_target(answer))
+        target.begin(self._cluster.schedule, self._send_from_target)
+
+    def _send_from_target(self, content: bytes) -> None:
+        """Sends an answer to the agent's process that then runs."""
+        host = self.record.host
+        self._cluster.schedule(
+            HOP_MS, lambda: self._cluster.nodes[host].on_target(content)
+        )
 
-    def _deliver_from_target(self, content: bytes) -> None:
+    def on_target(self, content: bytes) -> None:
+        """Handles a packet of the local target."""
         packet = PlainPacketCodec().from_target(content)
         if self.is_up and self.agent is not None and packet is not None:
             self.agent.on_target_packet(packet)
@@ -288,6 +329,8 @@
         )
         self._revisions = itertools.count(2)
         self.table = route_table(1, {SERVICE_PORT: SERVICE})
+        #: Limit on opening packets at the agents that start from now on.
+        self.opening_limit: OpeningLimit | None = None
         #: Time and content of every packet sent to a client.
         self.received: list[tuple[int, PlainPacket]] = []
         #: Pairs of sender and receiver whose messages are lost.
--- a/tests/soak/mutant.py
+++ b/tests/soak/mutant.py
@@ -18,6 +18,7 @@
 from anvilthread.flows.holder_search import HolderSearch
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
+from anvilthread.flows.silence_check import SilenceCheck
 from anvilthread.flows.target_watch import TargetWatch
 
 
@@ -60,9 +61,8 @@
     """Resets a flow that its balancer does not know, instead of searching."""
 
     def search_holder(self, packet, denied_by=''):
-        self._resets.send(  # noqa: SLF001
-            packet.key, packet.acknowledged, 'mutant'
-        )
+        resets = self._resets  # noqa: SLF001
+        resets.send(packet.key, packet.acknowledged, 'mutant')
 
     FlowBalancer._search_holder = search_holder  # noqa: SLF001
 
@@ -84,6 +84,16 @@
     EvacuationHolder.sites = property(lambda self: frozenset())
 
 
+def trust_silence() -> None:
+    """Resets the flows of a target that leaves opening packets unanswered."""
+
+    def begin(self, since_ms):
+        self._since_ms = since_ms  # noqa: SLF001
+        self._is_refused = True  # noqa: SLF001
+
+    SilenceCheck.begin = begin
+
+
 def serve_nobody() -> None:
     """Neither places a flow nor searches for its holder."""
     HolderSearch.start = lambda *_args, **_named: None
@@ -99,6 +109,7 @@
         reset_moved_flows,
         alter_packets,
         ignore_evacuations,
+        trust_silence,
         serve_nobody,
     )
 }
