Test that queued opening packets leave an evacuated site

Result: the test passes, and fails on the mutant queued_not_returned (OpeningAdmission.tick without the refusal of the condition).

--- a/tests/flows/test_evacuation.py
+++ b/tests/flows/test_evacuation.py
@@ -3,7 +3,17 @@
 import pytest
 
 from anvilthread.flows.node_messages import Hello, LoadReport
-from standins.flow_cluster import SERVICE, FlowCluster, FlowNode, flow_key
+from anvilthread.flows.flow_key import pack_endpoint
+from anvilthread.flows.route_table import Route, RouteTable, ServiceShare
+from anvilthread.flows.traffic_class import TrafficClass
+from standins.flow_cluster import (
+    SERVICE,
+    SERVICE_HOST,
+    SERVICE_PORT,
+    FlowCluster,
+    FlowNode,
+    flow_key,
+)
 
 _SITES = ('site-a', 'site-b', 'site-c')
 _FLOWS = 60
@@ -119,7 +129,7 @@
     if is_evacuated:
         cluster.evacuate(node.record.site)
     delivered: list[bytes] = []
-    node.send_to_target = delivered.append  # type: ignore[method-assign]
+    node.send_to_target = delivered.append  # type: ignore[assignment, method-assign]
     cluster.open(flow_key(1), copy=1)
     cluster.advance(100)
     assert len(delivered) == (0 if is_evacuated else 1)
@@ -127,6 +137,42 @@
     assert not cluster.is_reset(flow_key(1))
 
 
+def test_queued_opening_packets_are_returned() -> None:
+    """Guards against a packet that waits at an agent until after the bound."""
+    cluster = FlowCluster(
+        balancers=1, agents=2, sites=('site-a', 'site-b'), evacuates=True
+    )
+    shares = (ServiceShare(service=SERVICE, weight=1),)
+    routes = {
+        pack_endpoint(SERVICE_HOST, SERVICE_PORT + number): Route(
+            name=f'route-{number}',
+            shares=shares,
+            traffic=TrafficClass(priority=number, objective_ms=300),
+        )
+        for number in (1, 2)
+    }
+    cluster.configure(
+        RouteTable(version=5, routes=routes, idle_ms=15_000, document=b'5')
+    )
+    # No request follows, so that the flows occupy the targets.
+    for number in range(24):
+        cluster.open(flow_key(number, SERVICE_PORT + 1))
+        cluster.advance(5)
+    node = cluster.agents[1]
+    assert node.agent is not None and node.record.site == 'site-b'
+    assert node.agent.condition.report().waiting > 0
+    delivered: list[bytes] = []
+    node.send_to_target = delivered.append  # type: ignore[assignment, method-assign]
+    cluster.evacuate('site-b')
+    cluster.advance(60)
+    assert node.agent.condition.report().waiting == 0
+    reasons = [
+        entry.fields['reason'] for entry in node.log.named('flow_refused')
+    ]
+    assert 'evacuated' in reasons
+    assert not delivered
+
+
 @pytest.mark.parametrize('is_evacuated', [True, False])
 def test_acceptance_is_reported(is_evacuated: bool) -> None:
     """Guards against balancers without the view that go on placing flows."""
