--- a/anvilthread/flows/flow_placement.py
+++ b/anvilthread/flows/flow_placement.py
@@ -81,16 +81,16 @@
         else:
             chosen = min(candidates, key=_load)
         chosen.count_send()
-        if self._counters is not None and self._is_evacuated(chosen):
+        is_evacuated = chosen.record.site in self._evacuated_sites
+        if self._counters is not None and is_evacuated:
             # Shows a fault of this class, whatever the choice depends on.
             self._counters.add('flow_placed_evacuated')
         return chosen
 
-    def _is_evacuated(self, node: KnownNode) -> bool:
+    @property
+    def _evacuated_sites(self) -> frozenset[str]:
         evacuations = self._evacuations
-        return evacuations is not None and (
-            node.record.site in evacuations.sites
-        )
+        return frozenset() if evacuations is None else evacuations.sites
 
     def _candidates(
         self,
@@ -119,13 +119,15 @@
         self, agents: list[KnownNode], excluded: Collection[str]
     ) -> list[KnownNode]:
         """Returns the agents on which a new flow may be placed."""
-        return [
+        allowed = [
             node
             for node in agents
-            if node.accepts
-            and node.host not in excluded
-            and not self._is_evacuated(node)
+            if node.accepts and node.host not in excluded
         ]
+        sites = self._evacuated_sites
+        if sites:
+            return [it for it in allowed if it.record.site not in sites]
+        return allowed
 
 
 def _is_sound(node: KnownNode) -> bool:
