--- a/anvilthread/flow_node/agent_process.py
+++ b/anvilthread/flow_node/agent_process.py
@@ -6,6 +6,10 @@
 from anvilthread.flow_node.flow_node_settings import FlowNodeSettings
 from anvilthread.flow_node.flow_process import FlowProcess
 from anvilthread.flow_node.target_probe import is_listening
+from anvilthread.flows.agent_limits import (
+    build_opening_limit,
+    build_work_limit,
+)
 from anvilthread.flows.configuration_source import ConfigurationSource
 from anvilthread.flows.flow_agent import FlowAgent
 from anvilthread.flows.flow_packet_codec import FlowPacketCodec
@@ -49,6 +53,7 @@
         '_codec',
         '_target',
         '_was_ejected',
+        '_was_evacuated',
         'process',
     )
 
@@ -75,8 +80,19 @@
             target=self._target,
             log=process.log,
             counters=process.counters,
+            work_limit=build_work_limit(process.clock, self._target),
+            opening_limit=build_opening_limit(
+                clock=process.clock,
+                target=self._target,
+                routes=process.routes,
+                service=settings.service,
+                overage=settings.warmup_overage,
+                slack=settings.warmup_slack,
+            ),
         )
         self._was_ejected = False
+        self._was_evacuated = False
+        process.routes.evacuations.subscribe(self._on_evacuation)
 
     def _report_to_new_balancer(self, node: KnownNode) -> None:
         """Sends a balancer that has just started the target's state at once."""
@@ -93,12 +109,19 @@
         agent = self._agent
         return FlowMetrics(
             counters=self.process.counters,
-            latencies={'anvilthread_answer_seconds': agent.latencies},
+            latencies={
+                'anvilthread_answer_seconds': agent.latencies,
+                'anvilthread_opening_wait_seconds': agent.openings.waits,
+            },
             gauges={
                 'anvilthread_flows': lambda: len(agent.flows),
                 'anvilthread_requests_working': lambda: (
                     agent.flows.meter.working
                 ),
+                'anvilthread_openings_waiting': lambda: (
+                    agent.openings.gate.waiting
+                ),
+                'anvilthread_work_limit': lambda: agent.openings.gate.limit,
                 **self.process.gauges(),
             },
         )
@@ -123,7 +146,7 @@
         """Waits for SIGTERM; returns once the process may exit."""
         process = self.process
         process.stop_requested.wait()
-        self._agent.condition.stop()
+        self._agent.stop()
         process.log.event('process_stopping', flows=len(self._agent.flows))
         if not self._target.is_alive:
             self._probe_target()
@@ -188,6 +211,13 @@
             self._was_ejected = is_ejected
             self._report_to_all_balancers()
 
+    def _on_evacuation(self) -> None:
+        """Reports at once if the site of this agent is affected."""
+        is_evacuated = self._agent.condition.is_evacuated
+        if is_evacuated != self._was_evacuated:
+            self._was_evacuated = is_evacuated
+            self._report_to_all_balancers()
+
     def _report_to_balancers(self) -> None:
         process = self.process
         while True:
--- a/anvilthread/flows/agent_condition.py
+++ b/anvilthread/flows/agent_condition.py
@@ -3,16 +3,21 @@
 from collections import deque
 from typing import Final
 
+import msgspec
+
 from anvilthread.clock import Clock
 from anvilthread.flows.active_time import ActiveTime
 from anvilthread.flows.agent_flow_table import AgentFlowTable
 from anvilthread.flows.flow_key import FlowKey
 from anvilthread.flows.node_messages import LoadReport
 from anvilthread.flows.node_record import NodeRecord
+from anvilthread.flows.opening_gate import OpeningGate
 from anvilthread.flows.route_holder import RouteHolder
 from anvilthread.flows.silence_check import SilenceCheck
 from anvilthread.flows.target_health import TargetHealth
 from anvilthread.flows.target_watch import TargetWatch
+from anvilthread.flows.traffic_class import LOWEST_PRIORITY
+from anvilthread.flows.work_observer import WorkObserver
 from anvilthread.telemetry.log import Log
 
 #: Time for which a target may send nothing after an opening packet before
@@ -31,9 +36,11 @@
     Args:
         clock: Source of time.
         agent: Identity of the agent.
-        routes: Configuration in force.
+        routes: Configuration and evacuated sites in force.
         flows: Flows of the target.
         target: State of the target, from its heartbeats and packets.
+        gate: Decides about opening packets, for the expected wait.
+        work: Learns of unanswered requests.
         log: Receives each change.
     """
 
@@ -42,6 +49,7 @@
         '_agent',
         '_clock',
         '_flows',
+        '_gate',
         '_health',
         '_is_stopping',
         '_pending_openings',
@@ -51,6 +59,7 @@
         '_started_ms',
         '_target',
         '_unanswered_openings',
+        '_work',
     )
 
     def __init__(
@@ -61,6 +70,8 @@
         routes: RouteHolder,
         flows: AgentFlowTable,
         target: TargetWatch,
+        gate: OpeningGate,
+        work: WorkObserver,
         log: Log,
     ) -> None:
         self._clock = clock
@@ -68,6 +79,8 @@
         self._routes = routes
         self._flows = flows
         self._target = target
+        self._gate = gate
+        self._work = work
         self._health = TargetHealth(clock=clock, log=log)
         self._silence = SilenceCheck(clock=clock, target=target, log=log)
         self._pending_openings: deque[tuple[int, int, FlowKey]] = deque()
@@ -80,7 +93,13 @@
     @property
     def accepts(self) -> bool:
         """Whether new flows may be placed on this agent."""
-        return self._target.accepts and not self._is_stopping
+        is_available = self._target.accepts and not self._is_stopping
+        return is_available and not self.is_evacuated
+
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether the site of the agent is evacuated."""
+        return self._agent.site in self._routes.evacuations.sites
 
     @property
     def is_ejected(self) -> bool:
@@ -119,7 +138,9 @@
             return 'stopping'
         if self._target.is_absent:
             return 'no_target'
-        return 'draining' if self._target.is_draining else ''
+        if self._target.is_draining:
+            return 'draining'
+        return 'evacuated' if self.is_evacuated else ''
 
     def stop(self) -> None:
         """Refuses all new flows from this call on."""
@@ -132,24 +153,17 @@
             period_ms: Maximum time until the next report.
         """
         self._sequence += 1
-        return LoadReport(
-            node=self._agent,
-            sequence=self._sequence,
-            accepts=self.accepts,
-            working=self._flows.meter.working
-            + self._flows.awaiting_first_request,
-            busy=round(self._flows.meter.mean, 3),
-            flows=self._flows.reused_flows,
-            period_ms=period_ms,
-            slots=self._target.slots,
-            cold_ms=self._target.cold_ms,
-            version=self._routes.table.version,
-            check_age_ms=self._routes.check_age_ms,
-            is_failing=self._health.is_failing,
-            uptime_ms=self._clock.now_ms() - self._started_ms,
-            has_new_target=self._target.saw_target_start
-            or self._target.is_absent,
-            knows_target=self._target.was_heard,
+        table = self._routes.table
+        report = self._basic_report(period_ms)
+        if not table.orders_by_priority(self._agent.service):
+            return report
+        gate = self._gate
+        return msgspec.structs.replace(
+            report,
+            run_ms=round(gate.known_run_ms, 1),
+            wait_ms=gate.expected_wait_ms(LOWEST_PRIORITY),
+            waiting=gate.waiting,
+            limit=gate.limit,
         )
 
     def record_opening(self, key: FlowKey) -> None:
@@ -187,3 +201,26 @@
         """Removes expired flows, and times out unanswered requests."""
         for _ in range(self._flows.sweep()):
             self._health.record_failure('request_unanswered')
+            self._work.on_failure()
+
+    def _basic_report(self, period_ms: int) -> LoadReport:
+        """Describes the load, without the wait for the target."""
+        return LoadReport(
+            node=self._agent,
+            sequence=self._sequence,
+            accepts=self.accepts,
+            working=self._flows.meter.working
+            + self._flows.awaiting_first_request,
+            busy=round(self._flows.meter.mean, 3),
+            flows=self._flows.reused_flows,
+            period_ms=period_ms,
+            slots=self._target.slots,
+            cold_ms=self._target.cold_ms,
+            version=self._routes.table.version,
+            check_age_ms=self._routes.check_age_ms,
+            is_failing=self._health.is_failing,
+            uptime_ms=self._clock.now_ms() - self._started_ms,
+            has_new_target=self._target.saw_target_start
+            or self._target.is_absent,
+            knows_target=self._target.was_heard,
+        )
--- a/anvilthread/flows/flow_placement.py
+++ b/anvilthread/flows/flow_placement.py
@@ -1,10 +1,13 @@
 """The choice of an agent for a new flow."""
 
 from collections.abc import Collection
+from functools import partial
 from typing import Final
 
 from anvilthread.clock import Clock
 from anvilthread.flows.agent_ranking import rank_agents
+from anvilthread.flows.evacuation_holder import EvacuationHolder
+from anvilthread.flows.flow_counters import FlowCounters
 from anvilthread.flows.flow_key import FlowKey
 from anvilthread.flows.known_node import KnownNode
 from anvilthread.flows.roster import Roster
@@ -23,20 +26,38 @@
 #: longest heartbeat interval in use (1.2 s), and its jitter.
 _RESTARTED_MS: Final = 1500
 
+#: Run time of all targets of a service while none has answered a request. Only
+#: the number of requests at each counts then, so any positive value will do.
+_NOMINAL_RUN_MS: Final = 30
+
 
 class FlowPlacement:
-    """Chooses among the agents of a service by their load.
+    """Chooses among the agents of a service by expected wait or load.
+
+    Agents that limit the requests at their targets report an expected wait. If
+    all candidates do, the shortest decides; otherwise the lowest load does.
 
     Args:
         clock: Clock for the age of reports.
         roster: The agents and their reports.
+        evacuations: Sites whose agents get no new flow; None for none.
+        counters: Counts flows placed in evacuated sites; None for no count.
     """
 
-    __slots__ = ('_clock', '_roster')
+    __slots__ = ('_clock', '_counters', '_evacuations', '_roster')
 
-    def __init__(self, *, clock: Clock, roster: Roster) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        roster: Roster,
+        evacuations: EvacuationHolder | None = None,
+        counters: FlowCounters | None = None,
+    ) -> None:
         self._clock = clock
         self._roster = roster
+        self._evacuations = evacuations
+        self._counters = counters
 
     def choose(
         self, service: str, key: FlowKey, excluded: Collection[str]
@@ -51,20 +72,70 @@
         Returns:
             The agent, or None if none accepts new flows.
         """
-        now_ms = self._clock.now_ms()
-        agents = [
-            node
-            for node in self._roster.agents(service)
-            if node.accepts and node.host not in excluded
-        ]
-        fresh = [node for node in agents if node.is_fresh(now_ms)]
-        usable = _without_failing(_without_unheard(fresh or agents, now_ms))
-        if not usable:
+        agents = self._roster.agents(service)
+        candidates = self._candidates(agents, key, excluded)
+        if not candidates:
             return None
-        chosen = min(rank_agents(key, usable)[:CANDIDATES], key=_load)
+        if all(node.wait.is_told for node in candidates):
+            chosen = _least_wait(candidates, agents)
+        else:
+            chosen = min(candidates, key=_load)
         chosen.count_send()
+        if self._counters is not None and self._is_evacuated(chosen):
+            # Shows a fault of this class, whatever the choice depends on.
+            self._counters.add('flow_placed_evacuated')
         return chosen
 
+    def _is_evacuated(self, node: KnownNode) -> bool:
+        evacuations = self._evacuations
+        return evacuations is not None and (
+            node.record.site in evacuations.sites
+        )
+
+    def _candidates(
+        self,
+        agents: list[KnownNode],
+        key: FlowKey,
+        excluded: Collection[str],
+    ) -> list[KnownNode]:
+        """Returns the first ranks of the usable agents.
+
+        Mostly all of the first ranks are usable, and the others need not be
+        checked: with 840 agents, the checks take most of the time.
+        """
+        now_ms = self._clock.now_ms()
+        ranked = rank_agents(key, agents)[: CANDIDATES + len(excluded)]
+        first = self._allowed(ranked, excluded)[:CANDIDATES]
+        if len(first) == CANDIDATES and all(
+            node.is_fresh(now_ms) and _is_sound(node) for node in first
+        ):
+            return first
+        allowed = self._allowed(agents, excluded)
+        fresh = [node for node in allowed if node.is_fresh(now_ms)]
+        usable = _without_failing(_without_unheard(fresh or allowed, now_ms))
+        return rank_agents(key, usable)[:CANDIDATES]
+
+    def _allowed(
+        self, agents: list[KnownNode], excluded: Collection[str]
+    ) -> list[KnownNode]:
+        """Returns the agents on which a new flow may be placed."""
+        return [
+            node
+            for node in agents
+            if node.accepts
+            and node.host not in excluded
+            and not self._is_evacuated(node)
+        ]
+
+
+def _is_sound(node: KnownNode) -> bool:
+    return _knows_target(node) and not node.is_failing
+
+
+def _knows_target(node: KnownNode) -> bool:
+    report = node.report
+    return report is None or report.knows_target
+
 
 def _without_unheard(agents: list[KnownNode], now_ms: int) -> list[KnownNode]:
     """Excludes agents that do not know yet whether their target drains.
@@ -75,7 +146,7 @@
     restarted = sum(node.uptime_ms(now_ms) < _RESTARTED_MS for node in agents)
     if restarted * 2 > len(agents):
         return agents
-    return [node for node in agents if node.knows_target] or agents
+    return [node for node in agents if _knows_target(node)] or agents
 
 
 def _without_failing(agents: list[KnownNode]) -> list[KnownNode]:
@@ -85,5 +156,31 @@
     return agents if ejected > len(agents) * _MAX_EJECTED_SHARE else healthy
 
 
+def _least_wait(
+    candidates: list[KnownNode], agents: list[KnownNode]
+) -> KnownNode:
+    """Returns the candidate with the shortest wait; the first if several.
+
+    Among candidates without a wait, the least utilised is chosen: long-lived
+    flows bring further requests, which a slow target takes longer to answer.
+    """
+    typical_run_ms: float = 0
+    if not all(node.wait.run_ms for node in candidates):
+        typical_run_ms = _typical_run_ms(agents)
+
+    return min(candidates, key=partial(_wait_rank, typical_run_ms))
+
+
+def _wait_rank(typical_run_ms: float, node: KnownNode) -> tuple[float, float]:
+    wait_ms = node.wait.expected_ms(typical_run_ms)
+    return wait_ms, 0 if wait_ms else node.wait.utilisation
+
+
+def _typical_run_ms(agents: list[KnownNode]) -> float:
+    """Returns the median of the known run times."""
+    known = sorted(node.wait.run_ms for node in agents if node.wait.run_ms)
+    return known[len(known) // 2] if known else _NOMINAL_RUN_MS
+
+
 def _load(node: KnownNode) -> float:
     return node.load
--- a/standins/flow_cluster.py
+++ b/standins/flow_cluster.py
@@ -3,11 +3,14 @@
 import heapq
 import itertools
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
 from typing import Any
 
 from anvilthread.clock import ManualClock
+from anvilthread.flows.agent_limits import build_work_limit
+from anvilthread.flows.evacuation_holder import EvacuationHolder
+from anvilthread.flows.evacuation_view import EvacuationView
 from anvilthread.flows.fleet_view import FleetView
 from anvilthread.flows.flow_agent import FlowAgent
 from anvilthread.flows.flow_balancer import FlowBalancer
@@ -20,12 +23,14 @@
 from anvilthread.flows.message_codec import decode_message, encode_message
 from anvilthread.flows.messages import AnyMessage, MessageHandlers
 from anvilthread.flows.node_record import NodeRecord, NodeRole
+from anvilthread.flows.opening_limit import OpeningLimit
 from anvilthread.flows.peer_messages import PeerMessages
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
 from anvilthread.flows.route_table import Route, RouteTable, ServiceShare
 from anvilthread.flows.store_era import StoreEra
 from anvilthread.flows.target_watch import TargetWatch
+from anvilthread.flows.traffic_class import TrafficClass
 from anvilthread.telemetry.memory_log import MemoryLog
 from standins.flow_target import FlowTarget
 from standins.plain_packet_codec import (
@@ -47,9 +52,20 @@
 
 
 def route_table(
-    version: int, ports: dict[int, str], idle_ms: int = 15_000
+    version: int,
+    ports: dict[int, str],
+    idle_ms: int = 15_000,
+    traffic: Mapping[int, TrafficClass] | None = None,
 ) -> RouteTable:
-    """Builds a configuration with a route for each port."""
+    """Builds a configuration with a route for each port.
+
+    Args:
+        version: Its version.
+        ports: Service behind each port.
+        idle_ms: Time after which an idle flow may be removed.
+        traffic: What routes require of their requests, by port.
+    """
+    classes = {} if traffic is None else traffic
     return RouteTable(
         version=version,
         idle_ms=idle_ms,
@@ -58,6 +74,7 @@
             pack_endpoint(SERVICE_HOST, port): Route(
                 name=f'route-{port}',
                 shares=(ServiceShare(service=service, weight=1),),
+                traffic=classes.get(port, TrafficClass()),
             )
             for port, service in ports.items()
         },
@@ -88,6 +105,8 @@
     ) -> None:
         self.record = record
         self.is_up = True
+        #: Types of the messages to this node that are lost.
+        self.lost: tuple[type, ...] = ()
         self.log = MemoryLog()
         self.counters = FlowCounters()
         self._cluster = cluster
@@ -96,7 +115,12 @@
             clock=cluster.clock, local_node=record, log=self.log
         )
         self.roster.subscribe(self._send_report)
-        self.routes = RouteHolder(clock=cluster.clock, log=self.log)
+        self.evacuations = EvacuationHolder(
+            clock=cluster.clock, log=self.log, is_enabled=cluster.evacuates
+        )
+        self.routes = RouteHolder(
+            clock=cluster.clock, log=self.log, evacuations=self.evacuations
+        )
         self.store_era = StoreEra(log=self.log)
         self.introducer = Introducer(
             clock=cluster.clock,
@@ -123,6 +147,7 @@
         )
         self._handlers: MessageHandlers = {}
         self._build_role()
+        self.evacuations.subscribe(self._send_reports)
 
     def send_to_node(self, host: str, message: AnyMessage) -> None:
         """Sends a message to another node."""
@@ -147,6 +172,8 @@
         if not self.is_up:
             return
         message = decode_message(content)
+        if isinstance(message, self.lost):
+            return
         if not self._peers.handle(host, message):
             self._handlers[type(message)](host, message)
 
@@ -167,7 +194,7 @@
             service=target.service,
             sequence=target.sequence,
             is_draining=target.is_draining,
-            slots=2,
+            slots=target.slots,
             cold_ms=target.cold_ms,
         )
         if self.agent is None or self.agent.on_heartbeat(heartbeat):
@@ -187,6 +214,7 @@
             self._probe_silent_target(self.agent)
         if self._now() % HELLO_INTERVAL_MS == 0:
             self.introducer.tick()
+            self.evacuations.tick(lambda: self.roster.sites)
             self._send_reports()
 
     def _build_role(self) -> None:
@@ -200,13 +228,22 @@
         }
         if self.record.role == NodeRole.AGENT:
             self.agent = FlowAgent(
-                roster=self.roster, target=self.watch, **parts
+                roster=self.roster,
+                target=self.watch,
+                work_limit=build_work_limit(self._cluster.clock, self.watch),
+                opening_limit=self._cluster.opening_limit,
+                **parts,
             )
             self._handlers = self.agent.handlers
             return
         clock = self._cluster.clock
         self.balancer = FlowBalancer(
-            placement=FlowPlacement(clock=clock, roster=self.roster),
+            placement=FlowPlacement(
+                clock=clock,
+                roster=self.roster,
+                evacuations=self.evacuations,
+                counters=self.counters,
+            ),
             fleet=FleetView(clock=clock, roster=self.roster),
             **parts,
         )
@@ -240,11 +277,18 @@
     def _deliver_to_target(self, target: FlowTarget, content: bytes) -> None:
         answer = target.handle_packet(content)
         if answer is not None:
-            self._cluster.schedule(
-                HOP_MS, lambda: self._deliver_from_target(answer)
-            )
+            self._cluster.schedule(HOP_MS, lambda: self.on_target(answer))
+        target.begin(self._cluster.schedule, self._send_from_target)
+
+    def _send_from_target(self, content: bytes) -> None:
+        """Sends an answer to the agent's process that then runs."""
+        host = self.record.host
+        self._cluster.schedule(
+            HOP_MS, lambda: self._cluster.nodes[host].on_target(content)
+        )
 
-    def _deliver_from_target(self, content: bytes) -> None:
+    def on_target(self, content: bytes) -> None:
+        """Handles a packet of the local target."""
         packet = PlainPacketCodec().from_target(content)
         if self.is_up and self.agent is not None and packet is not None:
             self.agent.on_target_packet(packet)
@@ -261,12 +305,32 @@
         balancers: Number of balancers.
         agents: Number of agents with a target of :data:`SERVICE`.
         seed: Seed of every random choice.
+        sites: Sites over which the agents are spread in turn.
+        evacuates: Whether sites are evacuated; if so, every node starts with
+            a view in which none is.
     """
 
-    def __init__(self, *, balancers: int, agents: int, seed: int = 1) -> None:
+    def __init__(
+        self,
+        *,
+        balancers: int,
+        agents: int,
+        seed: int = 1,
+        sites: tuple[str, ...] = ('site-a',),
+        evacuates: bool = False,
+    ) -> None:
         self.clock = ManualClock(start_ms=1000)
         self.random = Random(seed)
+        self.sites = sites
+        self.evacuates = evacuates
+        #: View with which nodes start; None if they start without one.
+        self.view: EvacuationView | None = EvacuationView(
+            era=1, revision=1, sites=()
+        )
+        self._revisions = itertools.count(2)
         self.table = route_table(1, {SERVICE_PORT: SERVICE})
+        #: Limit on opening packets at the agents that start from now on.
+        self.opening_limit: OpeningLimit | None = None
         #: Time and content of every packet sent to a client.
         self.received: list[tuple[int, PlainPacket]] = []
         #: Pairs of sender and receiver whose messages are lost.
@@ -412,16 +476,36 @@
             node.routes.update(table, 'test')
             node.routes.confirm(0)
 
+    def evacuate(
+        self, *sites: str, era: int = 1, at: list[FlowNode] | None = None
+    ) -> None:
+        """Replaces the evacuated sites in the store, which some nodes read.
+
+        Args:
+            sites: All evacuated sites.
+            era: Era of the store.
+            at: Nodes that read them now, and send hellos; all if None.
+        """
+        view = EvacuationView(
+            era=era, revision=next(self._revisions), sites=sites
+        )
+        self.view = view
+        for node in list(self.nodes.values()) if at is None else at:
+            node.evacuations.update(view, 'test', 0)
+            node.introducer.announce()
+
     def _add(self, host: str, role: NodeRole, service: str) -> FlowNode:
         record = NodeRecord(
             host=host,
             role=role,
-            site='site-a',
+            site=self.sites[(int(host.split('.')[3]) - 1) % len(self.sites)],
             service=service,
             incarnation=next(self._incarnations),
         )
         contacts = ['10.0.0.1', '10.0.0.2']
         node = FlowNode(cluster=self, record=record, contacts=contacts)
+        if self.view is not None:
+            node.evacuations.update(self.view, 'test', 0)
         node.routes.update(self.table, 'test')
         node.routes.confirm(0)
         self.nodes[host] = node
--- a/tests/flow_node/test_agent_process.py
+++ b/tests/flow_node/test_agent_process.py
@@ -1,91 +1,70 @@
-"""The process of an agent, with sockets of its own."""
+"""Reports of an agent's process."""
 
-import time
+import os
+import sys
+from collections.abc import Iterator
 
-import gevent
 import pytest
-from gevent.server import StreamServer
+from gevent import socket
 
 from anvilthread.flow_node.agent_process import AgentProcess
 from anvilthread.flow_node.flow_node_settings import FlowNodeSettings
-from anvilthread.flows.flow_key import FlowKey, pack_endpoint
-from anvilthread.flows.node_record import NodeRole
-from anvilthread.flows.packet_messages import Place
+from anvilthread.flows.evacuation_view import EvacuationView
+from anvilthread.flows.message_codec import decode_message
+from anvilthread.flows.node_messages import LoadReport
+from anvilthread.flows.node_record import NodeRecord, NodeRole
+from standins.flow_cluster import SERVICE
 from standins.free_port import free_port
-from standins.plain_packet_codec import (
-    PlainPacket,
-    PlainPacketCodec,
-    encode_packet,
-)
+from standins.plain_packet_codec import PlainPacketCodec
 
-_HOST = '127.0.0.1'
-_SERVICE = 'bookings'
+_HOST = '127.0.0.2'
+_BALANCER_HOST = '127.0.0.3'
 
-#: Ample on a loaded machine, and less than the silence that proves the end of
-#: a target without a probe.
-_LIMIT_S = 2.5
 
-
-def _key(number: int) -> FlowKey:
-    client = pack_endpoint(_HOST, 10_000 + number)
-    return FlowKey(client + pack_endpoint('198.18.0.1', 80))
-
-
-def _start_agent(target_port: int) -> AgentProcess:
-    """Creates an agent with one open flow and unanswered opening packets."""
-    process = AgentProcess(
-        settings=FlowNodeSettings(
-            name='agent',
-            role=NodeRole.AGENT,
-            host=_HOST,
-            site='site-a',
-            service=_SERVICE,
-            node_port=free_port(),
-            contacts=(),
-            client_port=free_port(),
-            target_address=(_HOST, target_port),
-            outbound_address=(_HOST, free_port()),
-            heartbeat_ms=1200,
-            stop_ms=1000,
-        ),
-        codec=PlainPacketCodec(),
+@pytest.fixture
+def settings() -> Iterator[FlowNodeSettings]:
+    """Settings of an agent; its log makes standard output non-blocking."""
+    output = sys.__stdout__
+    assert output is not None
+    was_blocking = os.get_blocking(output.fileno())
+    yield FlowNodeSettings(
+        name='agent',
+        role=NodeRole.AGENT,
+        host=_HOST,
+        site='site-b',
+        service=SERVICE,
+        node_port=free_port(),
+        contacts=(),
+        client_port=free_port(),
+        target_address=(_HOST, free_port()),
+        outbound_address=(_HOST, free_port()),
+        heartbeat_ms=1200,
+        stop_ms=6000,
+        evacuation_ms=5000,
     )
-    answer = encode_packet(PlainPacket(key=_key(0), flags='SA'))
-    packet = PlainPacketCodec().from_target(answer)
-    assert packet is not None
-    process._agent.on_target_packet(packet)
-    gevent.sleep(0.01)
-    for number in range(1, 4):
-        opening = encode_packet(PlainPacket(key=_key(number), flags='S'))
-        place = Place(packet=opening, service=_SERVICE, version=1)
-        process._agent.on_place(_HOST, place)
-    return process
+    os.set_blocking(output.fileno(), was_blocking)
 
 
-@pytest.mark.parametrize('listens', [True, False])
-def test_silent_target_is_probed(listens: bool) -> None:
-    """Guards against a process that never probes the port of its target.
+def test_evacuation_is_reported_at_once(settings: FlowNodeSettings) -> None:
+    """Guards against balancers that learn of it a report period later.
 
-    It probes it again after a pause, and not at every tick.
+    Only a change of the agent's own site is reported.
     """
-    accepted_s: list[float] = []
-    target = StreamServer(
-        (_HOST, free_port()), lambda *_: accepted_s.append(time.monotonic())
-    )
-    if listens:
-        target.start()
-    process = _start_agent(target.address[1])
-    counters = process.process.counters
-    deadline_s = time.monotonic() + _LIMIT_S
-    try:
-        while time.monotonic() < deadline_s:
-            if 'flow_reset' in counters.counts or len(accepted_s) == 2:
-                break
-            process._tick()
-            gevent.sleep(0.02)
-    finally:
-        target.stop()
-    assert counters.counts.get('flow_reset', 0) == (not listens)
-    assert len(accepted_s) == 2 * listens
-    if listens:
-        assert accepted_s[1] - accepted_s[0] > 0.15
+    agent = AgentProcess(settings=settings, codec=PlainPacketCodec())
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as balancer:
+        balancer.bind((_BALANCER_HOST, settings.node_port))
+        balancer.settimeout(1)
+        record = NodeRecord(_BALANCER_HOST, NodeRole.BALANCER, 'site-a', '', 1)
+        agent.process.roster.record_sender(record)
+        sequences = []
+        for revision, sites in enumerate([(), ('a',), ('site-b',), ('a',)]):
+            view = EvacuationView(era=1, revision=revision, sites=sites)
+            agent.process.routes.evacuations.update(view, 'test', 0)
+        for _ in range(2):
+            report = decode_message(balancer.recv(2048))
+            assert isinstance(report, LoadReport)
+            sequences.append(report.sequence)
+        balancer.settimeout(0.1)
+        with pytest.raises(TimeoutError):
+            balancer.recv(2048)
+    assert sequences == [1, 2]
