Test waiting packets at uneven, cold and stuck targets

A target that accepts flows and finishes no request got one more waiting packet per silence; it now gets two above its limit. Impossible waits in Place and Refused, and the wait in reports, are covered.

--- a/anvilthread/flows/opening_gate.py
+++ b/anvilthread/flows/opening_gate.py
@@ -81,6 +81,11 @@
         silence_ms = max(self.run_ms * _SILENT_RUNS, _MIN_SILENCE_MS)
         return self._work.is_silent(silence_ms)
 
+    @property
+    def requests_above_limit(self) -> int:
+        """Requests at the target above its limit."""
+        return max(self._work.requests - self.limit, 0)
+
     @property
     def limit(self) -> int:
         """Requests that may be at the target at a time; 0 for no limit."""
--- a/anvilthread/flows/waiting_openings.py
+++ b/anvilthread/flows/waiting_openings.py
@@ -108,7 +108,9 @@
         """
         if not self._gate.is_target_silent:
             self._trials_left = _MAX_TRIALS
-        elif self._trials_left:
+        elif (
+            self._trials_left and self._gate.requests_above_limit < _MAX_TRIALS
+        ):
             self._trials_left -= 1
             self._deliver_next()
 
--- a/tests/flows/test_waiting_flows.py
+++ b/tests/flows/test_waiting_flows.py
@@ -1,5 +1,7 @@
 """Opening packets that wait at agents while parts fail, in virtual time."""
 
+from random import Random
+
 import pytest
 
 from anvilthread.flows.flow_key import (
@@ -7,7 +9,12 @@
     endpoint_of,
     pack_endpoint,
 )
-from anvilthread.flows.packet_messages import Queued, Withdraw
+from anvilthread.flows.packet_messages import (
+    Place,
+    Queued,
+    Refused,
+    Withdraw,
+)
 from anvilthread.flows.traffic_class import TrafficClass
 from standins.flow_cluster import (
     SERVICE,
@@ -129,6 +136,28 @@
         clients.advance(10)
 
 
+def _open_randomly(
+    clients: _Clients, count: int, per_ms: float, seed: int = 1
+) -> None:
+    """Opens flows of both priorities as a Poisson process."""
+    random = Random(seed)
+    due_ms: float = 0
+    elapsed_ms = 0
+    for number in range(count):
+        due_ms += random.expovariate(per_ms)
+        clients.advance(int(due_ms) - elapsed_ms)
+        elapsed_ms = int(due_ms)
+        clients.open(number, _LOW_PORT if number % 2 else _HIGH_PORT)
+
+
+def _first_heard_ms(cluster: FlowCluster) -> dict[bytes, int]:
+    """Returns the time of the first packet to the client of each flow."""
+    heard: dict[bytes, int] = {}
+    for at_ms, packet in cluster.received:
+        heard.setdefault(packet.key, at_ms)
+    return heard
+
+
 def _times_run(cluster: FlowCluster, key: FlowKey) -> int:
     return sum(target.served.count(_body(key)) for target in cluster.targets)
 
@@ -179,9 +208,7 @@
     """
     cluster = _cluster(balancers=2, agents=8, run_ms=40)
     clients = _Clients(cluster)
-    for number in range(300):
-        clients.open(number, _LOW_PORT if number % 2 else _HIGH_PORT)
-        clients.advance(6 + number % 2)
+    _open_randomly(clients, 300, 0.8 * 8 / 40)
     clients.advance(500)
     assert len(clients.answered_ms) == 300
     assert not any(cluster.is_reset(key) for key in clients.opened_ms)
@@ -357,19 +384,157 @@
 def test_every_client_is_told_in_time() -> None:
     """Guards against clients that hear nothing until they give up.
 
-    Load: 200% of the capacity of two targets.
+    Load: 200% of the capacity of two targets, first of the lower priority,
+    whose waiting packets are then overtaken by the higher one.
     """
     cluster = _cluster(agents=2, run_ms=40)
     clients = _Clients(cluster)
     for number in range(150):
-        clients.open(number, _LOW_PORT if number % 3 else _HIGH_PORT)
+        is_low = number < 60 or number % 3
+        clients.open(number, _LOW_PORT if is_low else _HIGH_PORT)
         clients.advance(10)
     clients.advance(1400)
-    heard: dict[bytes, int] = {}
-    for at_ms, packet in cluster.received:
-        heard.setdefault(packet.key, at_ms)
+    heard = _first_heard_ms(cluster)
     for key, opened_ms in clients.opened_ms.items():
         assert heard[key] - opened_ms <= 1340
     high = clients.took_ms(_HIGH_PORT)
-    assert len(high) >= 49
+    assert len(high) == 30
     assert max(high) <= 352
+
+
+@pytest.mark.parametrize(
+    ('run_ms', 'balancers'),
+    [
+        # Targets of the speeds 0.6, 1.0 and 1.6.
+        ((50, 30, 19, 50, 30, 19), 2),
+        # The peak of one site: every flow comes through its balancer.
+        ((30, 30, 30, 30, 30, 30), 1),
+    ],
+)
+def test_uneven_load_is_served_in_time(
+    run_ms: tuple[int, ...], balancers: int
+) -> None:
+    """Guards against late requests while the capacity would suffice.
+
+    Load: speeds that differ, and a peak in one site, at 90% of capacity.
+    """
+    cluster = _cluster(balancers=balancers, agents=len(run_ms), run_ms=30)
+    for target, target_run_ms in zip(cluster.targets, run_ms, strict=True):
+        target.run_ms = target_run_ms
+    clients = _Clients(cluster)
+    _open_randomly(
+        clients, 400, 0.9 * sum(1 / target_ms for target_ms in run_ms)
+    )
+    clients.advance(500)
+    high = clients.took_ms(_HIGH_PORT)
+    low = clients.took_ms(_LOW_PORT)
+    assert (len(high), len(low)) == (200, 200)
+    assert max(high) <= 352
+    assert max(low) <= 303
+    assert not any(target.refused for target in cluster.targets)
+
+
+def test_clients_of_a_stuck_target_are_told() -> None:
+    """Guards against clients that wait for a target that has become slow.
+
+    Failure: a target accepts flows and finishes no request.
+    """
+    cluster = _cluster(agents=1, run_ms=40)
+    clients = _Clients(cluster)
+    _fill(cluster, clients, 16)
+    cluster.targets[0].run_ms = 5000
+    assert _waiting(cluster.agents[0]) > 2
+    clients.advance(1400)
+    told_ms = _first_heard_ms(cluster)
+    for key, opened_ms in clients.opened_ms.items():
+        assert told_ms[key] - opened_ms <= 1340
+    # Two more than its limit show that it still runs; not more are stuck.
+    agent = cluster.agents[0].agent
+    assert agent is not None
+    assert agent.flows.meter.working <= 4
+
+
+class _NoRoom:
+    """A limit on opening packets that is used up."""
+
+    has_room = False
+
+    def record(self) -> None:
+        """Fails: no packet may reach the target."""
+        raise AssertionError('an opening packet reached a cold target')
+
+
+def test_cold_third_gets_nothing_above_its_limit() -> None:
+    """Guards against packets at cold targets, and against lost clients.
+
+    Load: a third of the targets are cold and may get no more packets.
+    """
+    cluster = _cluster(agents=6, run_ms=30)
+    cluster.opening_limit = _NoRoom()
+    for number in range(2):
+        cluster.add_agent(number)
+    cluster.advance(200)
+    clients = _Clients(cluster)
+    for number in range(100):
+        clients.open(number)
+        clients.advance(10)
+    clients.advance(300)
+    assert len(clients.answered_ms) == 100
+    refusals = [
+        node.counters.counts.get('flow_refused_warming_up', 0)
+        for node in cluster.agents
+    ]
+    assert sum(refusals)
+
+
+@pytest.mark.parametrize('waited_ms', [-1, -(1 << 40), 10_001, 1 << 40])
+def test_impossible_wait_is_ignored(waited_ms: int) -> None:
+    """Guards against a packet that a wrong wait has refused or kept forever."""
+    cluster = _cluster(agents=1, run_ms=100)
+    clients = _Clients(cluster)
+    _fill(cluster, clients, 3)
+    node = cluster.agents[0]
+    assert node.agent is not None
+    content = encode_packet(PlainPacket(key=_key(9), flags='S'))
+    message = Place(
+        packet=content, service=SERVICE, version=2, waited_ms=waited_ms
+    )
+    node.agent.on_place(cluster.balancers[0].record.host, message)
+    assert _waiting(node) == 2
+    assert node.log.named('wait_ignored')
+
+
+@pytest.mark.parametrize('wait_ms', [-1, 60_001])
+def test_impossible_wait_of_a_refusal_is_ignored(wait_ms: int) -> None:
+    """Guards against a record of an agent that a wrong message spoils."""
+    cluster = _cluster(agents=2, run_ms=100)
+    balancer = cluster.balancers[0]
+    cluster.open(_key(1))
+    assert balancer.balancer is not None
+    host = next(
+        entry.fields['agent'] for entry in balancer.log.named('flow_placed')
+    )
+    content = encode_packet(PlainPacket(key=_key(1), flags='S'))
+    refused = Refused(packet=content, reason='busy', version=2, wait_ms=wait_ms)
+    balancer.balancer.handlers[Refused](str(host), refused)
+    assert balancer.log.named('wait_ignored')
+    placed = [
+        entry.fields['agent'] for entry in balancer.log.named('flow_placed')
+    ]
+    assert len(set(placed)) == 2
+
+
+def test_report_names_the_wait() -> None:
+    """Guards against balancers that see no queue in the reports."""
+    cluster = _cluster(agents=1, run_ms=100)
+    clients = _Clients(cluster)
+    _fill(cluster, clients, 8)
+    clients.advance(100)
+    node = cluster.agents[0]
+    assert node.agent is not None
+    report = node.agent.condition.report()
+    assert report.waiting == _waiting(node)
+    assert report.waiting
+    assert report.limit == 2
+    assert 60 <= report.run_ms <= 140
+    assert report.wait_ms >= report.waiting * report.run_ms - 1
