Shed flows that no target of a service can serve in time

When the whole service is overloaded, clients waited for flows that were served after their objective or never, and high priorities with them.

A balancer refuses new flows of a service that orders by priority (flow_reset, reason overload) by the shortest wait that any agent reports: the lowest class from half of its objective on, other classes from 650 ms on, and only once the lowest is refused entirely. The hash of the key selects the share that is refused. While one target is free, or does not tell its wait, nothing is refused.

--- a/anvilthread/flows/flow_opener.py
+++ b/anvilthread/flows/flow_opener.py
@@ -94,6 +94,12 @@
 
     def open(self, packet: FlowPacket, service: str) -> None:
         """Places a new flow, or resets it if no agent accepts it."""
+        if not self._placement.has_room(
+            service, packet.key, self._routes.table
+        ):
+            self._flows.remove(packet.key)
+            self._resets.send(packet.key, packet.acknowledged, 'overload')
+            return
         flow = self._flows.add(packet.key, '', service)
         flow.opening_packet = packet.content
         if not self._place(flow):
--- a/anvilthread/flows/flow_placement.py
+++ b/anvilthread/flows/flow_placement.py
@@ -9,6 +9,8 @@
 from anvilthread.flows.flow_key import FlowKey
 from anvilthread.flows.known_node import KnownNode
 from anvilthread.flows.roster import Roster
+from anvilthread.flows.route_table import RouteTable
+from anvilthread.flows.service_room import ServiceRoom
 
 #: Agents that the key of a flow selects, of which the least loaded is chosen.
 #: If several balancers chose the least loaded of all agents by the same
@@ -36,11 +38,16 @@
         roster: The agents and their reports.
     """
 
-    __slots__ = ('_clock', '_roster')
+    __slots__ = ('_clock', '_room', '_roster')
 
     def __init__(self, *, clock: Clock, roster: Roster) -> None:
         self._clock = clock
         self._roster = roster
+        self._room = ServiceRoom(clock=clock, roster=roster)
+
+    def has_room(self, service: str, key: FlowKey, table: RouteTable) -> bool:
+        """Whether a new flow is admitted; see :class:`ServiceRoom`."""
+        return self._room.admits(service, key, table)
 
     def choose(
         self, service: str, key: FlowKey, excluded: Collection[str]
--- a/anvilthread/flows/route_table.py
+++ b/anvilthread/flows/route_table.py
@@ -124,23 +124,37 @@
         """Whether the routes of a service differ in priority."""
         return service in self._prioritised
 
+    def lowest_class_of(self, service: str) -> TrafficClass | None:
+        """Returns the lowest class of a service that orders by priority.
+
+        It is None for other services. If routes share the lowest priority, it
+        is the class with the shortest objective.
+        """
+        return self._prioritised.get(service)
+
     def route_of(self, key: FlowKey) -> Route | None:
         """Returns the route of a flow; None if its address has no route."""
         return self._routes.get(endpoint_of(key))
 
 
-def _prioritised_services(routes: Iterable[Route]) -> frozenset[str]:
-    """Returns the services whose routes with an objective differ in priority.
+def _prioritised_services(routes: Iterable[Route]) -> dict[str, TrafficClass]:
+    """Returns the lowest class of each service whose routes differ in priority.
 
-    Routes without an objective carry no traffic that competes for time.
+    Routes without an objective carry no traffic that competes for time, and do
+    not count.
     """
-    priorities: dict[str, set[int]] = {}
+    classes: dict[str, list[TrafficClass]] = {}
     for route in routes:
         if not route.traffic.objective_ms:
             continue
         for share in route.shares:
-            known = priorities.setdefault(share.service, set())
-            known.add(route.traffic.priority)
-    return frozenset(
-        service for service, known in priorities.items() if len(known) > 1
-    )
+            classes.setdefault(share.service, []).append(route.traffic)
+    return {
+        service: min(known, key=_lowest_first)
+        for service, known in classes.items()
+        if len({traffic.priority for traffic in known}) > 1
+    }
+
+
+def _lowest_first(traffic: TrafficClass) -> tuple[int, int]:
+    return -traffic.priority, traffic.objective_ms
--- a/anvilthread/flows/wait_estimate.py
+++ b/anvilthread/flows/wait_estimate.py
@@ -26,6 +26,7 @@
         '_has_faults',
         '_is_cold',
         '_is_told',
+        '_reported_ms',
         '_run_ms',
         '_sends',
         '_slots',
@@ -40,6 +41,7 @@
         self._has_faults = False
         self._is_cold = False
         self._is_told = False
+        self._reported_ms: float = 0
         self._run_ms: float = 0
         self._sends = 0
         self._slots = 1
@@ -53,6 +55,11 @@
         """
         return self._is_told
 
+    @property
+    def reported_ms(self) -> float:
+        """Wait in ms by the last report; 0 if it is not told or implausible."""
+        return self._reported_ms
+
     @property
     def run_ms(self) -> float:
         """Time that the target takes for a request; 0 if unknown."""
@@ -82,6 +89,7 @@
         self._run_ms = self._checked(report.run_ms) or 0
         wait_ms = self._checked(report.wait_ms)
         self._base_ms = wait_ms if self._run_ms else None
+        self._reported_ms = wait_ms or 0 if self._is_told else 0
 
     def correct(self, wait_ms: int) -> None:
         """Replaces the wait by that of a refusal, if it is plausible."""
--- a/benchmarks/expected_wait.py
+++ b/benchmarks/expected_wait.py
@@ -8,7 +8,7 @@
 import itertools
 import time
 import zlib
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
 from enum import Enum
 from functools import partial
@@ -22,6 +22,7 @@
 from anvilthread.flows.node_messages import LoadReport
 from anvilthread.flows.node_record import NodeRecord, NodeRole
 from anvilthread.flows.roster import Roster
+from anvilthread.flows.service_room import refused_share
 from anvilthread.flows.work_meter import WorkMeter
 from anvilthread.routing.rendezvous import score
 from anvilthread.telemetry.memory_log import MemoryLog
@@ -52,6 +53,17 @@
 _COST_ROUNDS: Final = 5
 
 
+#: Shedding: demands with the share of the lower class, and its objective;
+#: requests that all targets complete per step.
+_SHED_DEMANDS: Final = ((1.3, 0.6), (1.8, 1.0))
+_SHED_OBJECTIVE_MS: Final = 303
+_SHED_STEP_MS: Final = 10
+_SHED_FLOWS_PER_STEP: Final = _TARGETS * _SHED_STEP_MS / _RUN_MS
+_SHED_MS: Final = 60_000
+_SHED_AGES_MS: Final = (100, 500, 1500)
+_SHED_BALANCERS: Final = (25, 300, 6500)
+
+
 class _Choice(Enum):
     """How the target of a request is chosen."""
 
@@ -269,6 +281,73 @@
     _print_waits('Wait in ms, targets of one speed', (1.0,))
     _print_waits('Wait in ms, targets of speed 0.6, 1.0 and 1.6', _SPEEDS)
     _print_cost()
+    _print_shedding()
+
+
+def _print_shedding() -> None:
+    for load, low_share in _SHED_DEMANDS:
+        rows = []
+        for name, scales in (('fixed', False), ('by age', True)):
+            for balancers in _SHED_BALANCERS:
+                results = [
+                    _shed(
+                        balancers,
+                        age_ms,
+                        demand=(load, low_share),
+                        scales_by_age=scales,
+                    )
+                    for age_ms in _SHED_AGES_MS
+                ]
+                rows.append((f'{name}, {balancers}', *results))
+        print_table(
+            f'Shedding at {load:.0%}, {low_share:.0%} of it of the lower class:'
+            ' wait in ms / capacity unused',
+            (
+                'range, balancers',
+                *(f'reports {age} ms old' for age in _SHED_AGES_MS),
+            ),
+            rows,
+        )
+
+
+def _shed(
+    balancers: int,
+    max_age_ms: int,
+    *,
+    demand: tuple[float, float],
+    scales_by_age: bool,
+) -> str:
+    """Sheds the lower class of the demand at one queue for all targets.
+
+    Balancers take over reports in random phases; between two reports, their
+    age rises from half the maximum to the maximum.
+    """
+    load, low_share = demand
+    random = Random(_SEED)
+    period = max_age_ms // 2 // _SHED_STEP_MS
+    phases = Counter(random.randrange(period) for _ in range(balancers))
+    waits: list[float] = [0]
+    unused: float = 0
+    steps = _SHED_MS // _SHED_STEP_MS
+    for step in range(steps):
+        admitted: float = 0
+        for phase, count in phases.items():
+            taken = step - period - (step + phase) % period
+            share = refused_share(
+                wait_ms=waits[max(taken, 0)],
+                age_ms=max_age_ms if scales_by_age else 0,
+                objective_ms=_SHED_OBJECTIVE_MS,
+                is_lowest=True,
+            )
+            admitted += count * (1 - low_share * share)
+        mean = load * admitted / balancers * _SHED_FLOWS_PER_STEP
+        work = max(random.gauss(mean, mean**0.5), 0) / _SHED_FLOWS_PER_STEP
+        wait = waits[-1] + (work - 1) * _SHED_STEP_MS
+        unused += max(-wait, 0) if step >= steps // 2 else 0
+        waits.append(max(wait, 0))
+    settled = waits[steps // 2 :]
+    share = unused / (_SHED_MS / 2)
+    return f'{min(settled):.0f} - {max(settled):.0f} / {share:.1%}'
 
 
 def _print_waits(title: str, speeds: tuple[float, ...]) -> None:
