--- a/anvilthread/flows/flow_placement.py
+++ b/anvilthread/flows/flow_placement.py
@@ -11,6 +11,8 @@
 from anvilthread.flows.flow_key import FlowKey
 from anvilthread.flows.known_node import KnownNode
 from anvilthread.flows.roster import Roster
+from anvilthread.flows.route_table import RouteTable
+from anvilthread.flows.service_room import ServiceRoom
 
 #: Agents that the key of a flow selects, of which the least loaded is chosen.
 #: If several balancers chose the least loaded of all agents by the same
@@ -44,7 +46,7 @@
         counters: Counts flows placed in evacuated sites; None for no count.
     """
 
-    __slots__ = ('_clock', '_counters', '_evacuations', '_roster')
+    __slots__ = ('_clock', '_counters', '_evacuations', '_room', '_roster')
 
     def __init__(
         self,
@@ -58,6 +60,11 @@
         self._roster = roster
         self._evacuations = evacuations
         self._counters = counters
+        self._room = ServiceRoom(clock=clock, roster=roster)
+
+    def has_room(self, service: str, key: FlowKey, table: RouteTable) -> bool:
+        """Whether a new flow is admitted; see :class:`ServiceRoom`."""
+        return self._room.admits(service, key, table)
 
     def choose(
         self, service: str, key: FlowKey, excluded: Collection[str]
