--- a/tests/flows/test_waiting_flows.py
+++ b/tests/flows/test_waiting_flows.py
@@ -492,7 +492,7 @@
     """Guards against a packet that a wrong wait has refused or kept forever."""
     cluster = _cluster(agents=1, run_ms=100)
     clients = _Clients(cluster)
-    _fill(cluster, clients, 3)
+    _fill(cluster, clients, 2)
     node = cluster.agents[0]
     assert node.agent is not None
     content = encode_packet(PlainPacket(key=_key(9), flags='S'))
