--- a/tests/flows/test_waiting_flows.py
+++ b/tests/flows/test_waiting_flows.py
@@ -538,3 +538,37 @@
     assert report.limit == 2
     assert 60 <= report.run_ms <= 140
     assert report.wait_ms >= report.waiting * report.run_ms - 1
+
+
+def test_copy_of_a_waiting_packet_changes_nothing() -> None:
+    """Guards against a copy that loses the place of its packet or adds one."""
+    cluster = _cluster(agents=1, run_ms=400)
+    clients = _Clients(cluster)
+    _fill(cluster, clients, 4)
+    node = cluster.agents[0]
+    waiting = _waiting(node)
+    answers = cluster.sent[Queued]
+    cluster.open(_key(3), copy=1)
+    cluster.advance(5)
+    assert _waiting(node) == waiting
+    assert cluster.sent[Queued] == answers + 1
+
+
+def test_client_without_room_is_reset_at_once() -> None:
+    """Guards against attempts after the agent with the shortest wait refuses.
+
+    Load: far above the capacity of four targets.
+    """
+    cluster = _cluster(agents=4, run_ms=200)
+    clients = _Clients(cluster)
+    # The agents learn the run time.
+    _fill(cluster, clients, 8)
+    clients.advance(600)
+    for number in range(8, 68):
+        clients.open(number)
+        clients.advance(2)
+    log = cluster.balancers[0].log
+    resets = [entry.fields['flow'] for entry in log.named('flow_reset')]
+    assert resets
+    placed = [entry.fields['flow'] for entry in log.named('flow_placed')]
+    assert all(placed.count(flow) <= 4 for flow in resets)
