Keep routes whose optional values cannot be used, and limit restarted targets

Such values now count as not stated, with one log line per version.

Its ignored heartbeats now count as far as they say that it is cold.

--- a/anvilthread/flows/route_holder.py
+++ b/anvilthread/flows/route_holder.py
@@ -12,6 +12,9 @@
 
 _NEVER_CHECKED: Final = -1
 
+#: Names of unusable values in one log line.
+_MAX_LOGGED_FIELDS: Final = 8
+
 
 class RouteHolder:
     """Holds the highest version seen; an older one never replaces it.
@@ -100,6 +103,14 @@
             routes=len(table),
             source=source,
         )
+        if table.ignored_fields:
+            self._log.warning(
+                'configuration_fields_ignored',
+                version=table.version,
+                fields=','.join(table.ignored_fields[:_MAX_LOGGED_FIELDS]),
+                count=len(table.ignored_fields),
+                remedy='correct these values; defaults are used instead',
+            )
         return True
 
     def confirm(self, check_age_ms: int) -> None:
--- a/anvilthread/flows/route_table.py
+++ b/anvilthread/flows/route_table.py
@@ -71,11 +71,13 @@
         idle_ms: Time after which an idle flow may be removed.
         document: The configuration as stored, for peers.
         services: Limits of each service that states any.
+        ignored_fields: Names of optional values that could not be used.
     """
 
     __slots__ = (
         '_document',
         '_idle_ms',
+        '_ignored_fields',
         '_prioritised',
         '_routes',
         '_services',
@@ -90,11 +92,13 @@
         idle_ms: int,
         document: bytes,
         services: Mapping[str, ServiceLimits] | None = None,
+        ignored_fields: tuple[str, ...] = (),
     ) -> None:
         self._version = version
         self._routes = dict(routes)
         self._idle_ms = idle_ms
         self._document = document
+        self._ignored_fields = ignored_fields
         self._services = dict(services or {})
         self._prioritised = _prioritised_services(self._routes.values())
 
@@ -113,6 +117,11 @@
         """The configuration as stored."""
         return self._document
 
+    @property
+    def ignored_fields(self) -> tuple[str, ...]:
+        """Names of optional values that could not be used."""
+        return self._ignored_fields
+
     def __len__(self) -> int:
         return len(self._routes)
 
--- a/anvilthread/flows/target_watch.py
+++ b/anvilthread/flows/target_watch.py
@@ -160,6 +160,10 @@
         was_draining = self.is_draining
         effect = self._incarnations.on_heartbeat(heartbeat)
         if not effect.is_accepted:
+            # A target that has restarted is cold before it is followed.
+            self._cold_until_ms = max(
+                self._cold_until_ms, self._clock.now_ms() + heartbeat.cold_ms
+            )
             return effect
         self._is_absent = False
         now_ms = self._record_sign()
--- a/tests/flows/test_target_watch.py
+++ b/tests/flows/test_target_watch.py
@@ -114,6 +114,18 @@
     assert watch.accepts
 
 
+def test_restarted_target_is_cold_before_it_is_followed() -> None:
+    """Guards against more flows than a target that has restarted bears.
+
+    Its heartbeats are ignored until the earlier incarnation has been silent.
+    """
+    watch, _ = _watch()
+    watch.on_heartbeat(_heartbeat(5))
+    effect = watch.on_heartbeat(_heartbeat(1, born_ms=900, cold_ms=2000))
+    assert not effect.is_accepted
+    assert watch.cold_ms == 2000
+
+
 def test_departed_target_is_not_alive() -> None:
     """Guards against flows recovered for a target that has just stopped."""
     watch, _ = _watch()
