--- a/anvilthread/flows/agent_flow_table.py
+++ b/anvilthread/flows/agent_flow_table.py
@@ -71,6 +71,15 @@
         self._awaited.touch(key)
         return flow
 
+    def recover(self, key: FlowKey, balancer: str, is_assumed: bool) -> None:
+        """Adds a flow whose offered packet the target has accepted."""
+        flow = self.get(key)
+        if flow is None:
+            flow = self.add(key, balancer)
+        flow.is_assumed = is_assumed
+        flow.is_open = flow.is_open or not is_assumed
+        flow.balancer = balancer
+
     def remove(self, key: FlowKey) -> None:
         """Removes a flow, if it is known."""
         flow = self._flows.pop(key, None)
--- a/anvilthread/flows/flow_agent.py
+++ b/anvilthread/flows/flow_agent.py
@@ -6,7 +6,7 @@
 from anvilthread.flows.agent_flow_table import AgentFlowTable
 from anvilthread.flows.agent_work import AgentWork
 from anvilthread.flows.flow_counters import FlowCounters
-from anvilthread.flows.flow_key import FlowKey, flow_name
+from anvilthread.flows.flow_key import flow_name
 from anvilthread.flows.flow_network import FlowNetwork
 from anvilthread.flows.flow_packet import FlowPacket
 from anvilthread.flows.flow_packet_codec import FlowPacketCodec
@@ -26,6 +26,7 @@
 from anvilthread.flows.search_answers import SearchAnswers
 from anvilthread.flows.search_messages import Ask, Locate, NotHeld
 from anvilthread.flows.target_offers import TargetOffers
+from anvilthread.flows.target_packets import TargetPackets
 from anvilthread.flows.target_watch import TargetWatch
 from anvilthread.flows.waiting_openings import WaitingOpenings
 from anvilthread.flows.work_limit import WorkLimit
@@ -58,7 +59,6 @@
         '_counters',
         '_delivery',
         '_flows',
-        '_latencies',
         '_log',
         '_lost_flows',
         '_network',
@@ -68,6 +68,7 @@
         '_search_answers',
         '_service',
         '_target',
+        '_target_packets',
         '_waiting',
         '_work',
     )
@@ -109,7 +110,7 @@
             codec=codec,
             service=self._service,
             target=target,
-            on_recovery=self._recover_flow,
+            on_recovery=self._flows.recover,
             log=log,
             counters=counters,
         )
@@ -132,7 +133,6 @@
             work=self._work,
             log=log,
         )
-        self._latencies = LatencyBuckets()
         self._search_answers = SearchAnswers(
             clock=clock,
             network=network,
@@ -179,6 +179,20 @@
             log=log,
             counters=counters,
         )
+        self._target_packets = TargetPackets(
+            network=network,
+            codec=codec,
+            flows=self._flows,
+            target=target,
+            offers=self._offers,
+            condition=self._condition,
+            work=self._work,
+            waiting=self._waiting,
+            openings=self._openings,
+            send_held=self._search_answers.send_held,
+            log=log,
+            counters=counters,
+        )
 
     @property
     def flows(self) -> AgentFlowTable:
@@ -188,7 +202,7 @@
     @property
     def latencies(self) -> LatencyBuckets:
         """Times from a request to the first packet of its answer."""
-        return self._latencies
+        return self._target_packets.latencies
 
     @property
     def condition(self) -> AgentCondition:
@@ -266,29 +280,7 @@
 
     def on_target_packet(self, packet: FlowPacket) -> None:
         """Handles a packet that the target has sent."""
-        self._target.on_packet(is_bounced=packet.is_bounced)
-        if packet.is_bounced:
-            self._on_bounced(packet)
-            return
-        flow = self._flows.get(packet.key)
-        if packet.is_reset and (flow is None or not flow.is_open):
-            self._on_foreign_reset(packet.key, flow)
-            return
-        self._offers.on_answer(packet.key)
-        flow = self._flows.get(packet.key) or self._flows.add(packet.key, '')
-        if not flow.is_open:
-            flow.is_open = True
-            if flow.balancer:
-                self._search_answers.send_held(flow.balancer, packet.key)
-        if packet.is_reset and flow.requested_ms is not None:
-            self._condition.health.record_failure('flow_reset_by_target')
-            self._work.on_failure()
-        working = self._flows.meter.working
-        latency_ms = self._flows.record_target_packet(packet, flow)
-        if latency_ms is not None:
-            self._on_answer(packet, flow, latency_ms, working)
-        self._openings.on_ending(packet, flow)
-        self._network.send_to_client(packet.key, packet.content)
+        self._target_packets.on_packet(packet)
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> bool:
         """Handles a heartbeat; resets flows that the target has lost.
@@ -345,81 +337,13 @@
         self._openings.on_abort(packet, flow)
         if self._flows.record_client_packet(packet, flow):
             flow.request_id = self._codec.request_id(packet.content)
-            self._event(
+            self._counters.add('request_delivered')
+            self._log.event(
                 'request_delivered',
-                packet.key,
+                flow=flow_name(packet.key),
                 request=flow.request_id,
                 balancer=flow.balancer,
                 working=self._flows.meter.working,
                 slots=self._target.slots,
             )
         self._network.send_to_target(packet.content)
-
-    def _on_answer(
-        self, packet: FlowPacket, flow: AgentFlow, latency_ms: int, working: int
-    ) -> None:
-        """Handles the first packet of the answer to a request."""
-        self._latencies.observe(latency_ms)
-        status = self._codec.status(packet.content)
-        self._condition.health.record_answer(
-            status=status, working=working, slots=self._target.slots
-        )
-        self._work.on_answer(
-            status=status, run_ms=latency_ms, working=flow.working
-        )
-        self._event(
-            'request_answered',
-            packet.key,
-            request=flow.request_id,
-            status=status,
-            took_ms=latency_ms,
-        )
-        self._waiting.deliver_waiting()
-
-    def _recover_flow(
-        self, key: FlowKey, balancer: str, is_assumed: bool
-    ) -> None:
-        """Adds a flow whose offered packet the target has accepted."""
-        flow = self._flows.get(key)
-        if flow is None:
-            flow = self._flows.add(key, balancer)
-        flow.is_assumed = is_assumed
-        flow.is_open = flow.is_open or not is_assumed
-        flow.balancer = balancer
-
-    def _on_foreign_reset(self, key: FlowKey, flow: AgentFlow | None) -> None:
-        """Handles a reset by the target for a flow that it does not hold.
-
-        It is not sent to the client, since another target may hold the flow.
-        """
-        self._event('foreign_reset', key, is_known=flow is not None)
-        self._offers.on_reset(key)
-        self._flows.remove(key)
-        if flow is not None and flow.balancer:
-            self._network.send_to_node(flow.balancer, NotHeld(key=key))
-
-    def _on_bounced(self, packet: FlowPacket) -> None:
-        content = self._codec.unbounced(packet.content)
-        original = self._codec.from_client(content)
-        if original is None:
-            self._counters.add('packets_malformed')
-            return
-        if self._offers.on_bounced(packet.mark):
-            return
-        flow = self._flows.get(original.key)
-        self._flows.remove(original.key)
-        balancer = '' if flow is None else flow.balancer
-        if not balancer:
-            self._counters.add('bounced_without_balancer')
-        elif original.opens:
-            self._condition.health.record_failure('opening_refused')
-            self._work.on_refusal()
-            self._openings.refuse(balancer, original, 'target_full')
-            self._waiting.deliver_waiting()
-        else:
-            not_held = NotHeld(key=original.key, packet=content)
-            self._network.send_to_node(balancer, not_held)
-
-    def _event(self, name: str, key: FlowKey, **fields: object) -> None:
-        self._counters.add(name)
-        self._log.event(name, flow=flow_name(key), **fields)
