--- a/anvilthread/flows/flow_agent.py
+++ b/anvilthread/flows/flow_agent.py
@@ -4,7 +4,7 @@
 from anvilthread.flows.agent_condition import AgentCondition
 from anvilthread.flows.agent_flow import AgentFlow
 from anvilthread.flows.agent_flow_table import AgentFlowTable
-from anvilthread.flows.agent_work import AgentWork
+from anvilthread.flows.agent_parts import AgentParts
 from anvilthread.flows.flow_counters import FlowCounters
 from anvilthread.flows.flow_key import flow_name
 from anvilthread.flows.flow_network import FlowNetwork
@@ -12,25 +12,15 @@
 from anvilthread.flows.flow_packet_codec import FlowPacketCodec
 from anvilthread.flows.heartbeat import Heartbeat
 from anvilthread.flows.latency_buckets import LatencyBuckets
-from anvilthread.flows.lost_flows import LostFlows
 from anvilthread.flows.messages import MessageHandlers
 from anvilthread.flows.opening_admission import OpeningAdmission
-from anvilthread.flows.opening_delivery import OpeningDelivery
-from anvilthread.flows.opening_gate import OpeningGate
 from anvilthread.flows.opening_limit import OpeningLimit
-from anvilthread.flows.opening_queue import OpeningQueue
-from anvilthread.flows.opening_refusals import OpeningRefusals
 from anvilthread.flows.packet_messages import Forward, Place, Withdraw
 from anvilthread.flows.roster import Roster
 from anvilthread.flows.route_holder import RouteHolder
-from anvilthread.flows.search_answers import SearchAnswers
 from anvilthread.flows.search_messages import Ask, Locate, NotHeld
-from anvilthread.flows.target_offers import TargetOffers
-from anvilthread.flows.target_packets import TargetPackets
 from anvilthread.flows.target_watch import TargetWatch
-from anvilthread.flows.waiting_openings import WaitingOpenings
 from anvilthread.flows.work_limit import WorkLimit
-from anvilthread.flows.work_observer import WorkObserver
 from anvilthread.telemetry.log import Log
 
 
@@ -53,7 +43,6 @@
     """
 
     __slots__ = (
-        '_clock',
         '_codec',
         '_condition',
         '_counters',
@@ -87,7 +76,6 @@
         work_limit: WorkLimit | None = None,
         opening_limit: OpeningLimit | None = None,
     ) -> None:
-        self._clock = clock
         self._network = network
         self._codec = codec
         self._routes = routes
@@ -95,104 +83,29 @@
         self._log = log
         self._counters = counters
         self._service = roster.local_node.service
-        self._flows = AgentFlowTable(clock=clock, routes=routes)
-        self._lost_flows = LostFlows(
-            clock=clock,
-            network=network,
-            codec=codec,
-            flows=self._flows,
-            log=log,
-            counters=counters,
-        )
-        self._offers = TargetOffers(
-            clock=clock,
-            network=network,
-            codec=codec,
-            service=self._service,
-            target=target,
-            on_recovery=self._flows.recover,
-            log=log,
-            counters=counters,
-        )
-        self._work = WorkObserver(work_limit=work_limit)
-        queue = OpeningQueue(clock=clock)
-        gate = OpeningGate(
-            clock=clock,
-            work=AgentWork(clock=clock, flows=self._flows, target=target),
-            queue=queue,
-            work_limit=work_limit,
-            opening_limit=opening_limit,
-        )
-        self._condition = AgentCondition(
-            clock=clock,
-            agent=roster.local_node,
-            routes=routes,
-            flows=self._flows,
-            target=target,
-            gate=gate,
-            work=self._work,
-            log=log,
-        )
-        self._search_answers = SearchAnswers(
+        parts = AgentParts(
             clock=clock,
             network=network,
             codec=codec,
             routes=routes,
-            service=self._service,
-            flows=self._flows,
+            roster=roster,
             target=target,
-            offers=self._offers,
             deliver=self._deliver,
-            counters=counters,
-        )
-        self._delivery = OpeningDelivery(
-            clock=clock,
-            network=network,
-            flows=self._flows,
-            condition=self._condition,
-            opening_limit=opening_limit,
-            log=log,
-            counters=counters,
-        )
-        refusals = OpeningRefusals(
-            network=network, routes=routes, log=log, counters=counters
-        )
-        self._waiting = WaitingOpenings(
-            condition=self._condition,
-            queue=queue,
-            gate=gate,
-            delivery=self._delivery,
-            refusals=refusals,
-        )
-        self._openings = OpeningAdmission(
-            clock=clock,
-            network=network,
-            routes=routes,
-            service=self._service,
-            flows=self._flows,
-            queue=queue,
-            gate=gate,
-            waiting=self._waiting,
-            delivery=self._delivery,
-            refusals=refusals,
-            send_held=self._search_answers.send_held,
-            log=log,
-            counters=counters,
-        )
-        self._target_packets = TargetPackets(
-            network=network,
-            codec=codec,
-            flows=self._flows,
-            target=target,
-            offers=self._offers,
-            condition=self._condition,
-            work=self._work,
-            waiting=self._waiting,
-            openings=self._openings,
-            send_held=self._search_answers.send_held,
             log=log,
             counters=counters,
+            work_limit=work_limit,
+            opening_limit=opening_limit,
         )
+        self._flows = parts.flows
+        self._lost_flows = parts.lost_flows
+        self._offers = parts.offers
+        self._work = parts.work
+        self._condition = parts.condition
+        self._search_answers = parts.search_answers
+        self._delivery = parts.delivery
+        self._waiting = parts.waiting
+        self._openings = parts.openings
+        self._target_packets = parts.target_packets
 
     @property
     def flows(self) -> AgentFlowTable:
