--- a/anvilthread/flows/flow_opener.py
+++ b/anvilthread/flows/flow_opener.py
@@ -3,8 +3,6 @@
 from collections import deque
 from typing import Final
 
-import msgspec
-
 from anvilthread.clock import Clock
 from anvilthread.flows.balancer_flow import BalancerFlow
 from anvilthread.flows.balancer_flow_table import BalancerFlowTable
@@ -22,8 +20,10 @@
     FIRST_MAX_WAIT_MS,
     OpeningAttempts,
 )
-from anvilthread.flows.packet_messages import Place, Refused
+from anvilthread.flows.packet_messages import Refused
+from anvilthread.flows.place_sender import PlaceSender
 from anvilthread.flows.queued_checks import QueuedChecks
+from anvilthread.flows.refusal_recorder import RefusalRecorder
 from anvilthread.flows.route_holder import RouteHolder
 from anvilthread.telemetry.log import Log
 
@@ -39,13 +39,6 @@
 _OPENING_TIMEOUT_MS: Final = 1400
 
 
-#: Longest wait that an agent can name; clients give up long before.
-_MAX_WAIT_MS: Final = 60_000
-
-#: Reasons of refusals that come with the expected wait at the agent.
-_WAIT_REASONS: Final = frozenset(('busy', 'no_room'))
-
-
 class FlowOpener:
     """Places the opening packets of clients until an agent confirms them.
 
@@ -69,10 +62,11 @@
         '_fleet',
         '_flows',
         '_log',
-        '_network',
         '_pending',
+        '_place_sender',
         '_placement',
         '_queued',
+        '_refusals',
         '_resets',
         '_routes',
     )
@@ -92,7 +86,6 @@
         counters: FlowCounters,
     ) -> None:
         self._clock = clock
-        self._network = network
         self._codec = codec
         self._routes = routes
         self._placement = placement
@@ -101,6 +94,12 @@
         self._resets = resets
         self._log = log
         self._counters = counters
+        self._place_sender = PlaceSender(
+            clock=clock, network=network, routes=routes
+        )
+        self._refusals = RefusalRecorder(
+            fleet=fleet, log=log, counters=counters
+        )
         #: Time at which the placement of each flow is checked.
         self._pending: deque[tuple[int, FlowKey]] = deque()
         self._queued = QueuedChecks(
@@ -139,7 +138,7 @@
         """Sends a copy of an opening packet to the agent of its flow."""
         attempts = flow.attempts
         if flow.is_confirmed or (attempts is not None and attempts.queued_at):
-            self._send_place(packet.content, flow)
+            self._place_sender.send(packet.content, flow)
 
     def abandon(self, flow: BalancerFlow) -> bool:
         """Removes a flow that its client aborts while its packet waits.
@@ -163,10 +162,12 @@
         self._event(
             'flow_refused', packet.key, agent=host, reason=message.reason
         )
-        if flow.attempts is None:
+        if flow.attempts is None or self._refusals.record(
+            flow, flow.attempts, message
+        ):
             self._place_again(packet, flow, message.reason)
         else:
-            self._retry(packet, flow, flow.attempts, message)
+            self._reject(packet, flow, message.reason, retries_later=False)
 
     def tick(self) -> None:
         """Places flows again that were not confirmed in time."""
@@ -178,36 +179,6 @@
             self._check_confirmation(key, now_ms)
         self._queued.tick()
 
-    def _retry(
-        self,
-        packet: FlowPacket,
-        flow: BalancerFlow,
-        attempts: OpeningAttempts,
-        message: Refused,
-    ) -> None:
-        """Places a flow of an ordered service again, or resets it."""
-        host = flow.agent
-        attempts.leave()
-        if message.reason in _WAIT_REASONS:
-            self._correct_wait(flow, message.wait_ms)
-        if message.reason == 'no_room' and attempts.is_final:
-            self._reject(packet, flow, message.reason, retries_later=False)
-            return
-        if message.reason == 'busy' and not attempts.is_final:
-            attempts.record_busy(host, message.wait_ms)
-        else:
-            attempts.exclude(host)
-        self._place_again(packet, flow, message.reason)
-
-    def _correct_wait(self, flow: BalancerFlow, wait_ms: int) -> None:
-        node = self._fleet.agent(flow.agent)
-        if not 0 <= wait_ms <= _MAX_WAIT_MS:
-            self._event(
-                'wait_ignored', flow.key, agent=flow.agent, wait_ms=wait_ms
-            )
-        elif node is not None:
-            node.correct_wait(wait_ms)
-
     def _place_again(
         self, packet: FlowPacket, flow: BalancerFlow, reason: str
     ) -> None:
@@ -276,7 +247,7 @@
         if flow.attempts is not None:
             flow.attempts.due_ms = due_ms
         self._pending.append((due_ms, flow.key))
-        self._send_place(flow.opening_packet, flow)
+        self._place_sender.send(flow.opening_packet, flow)
 
     def _check_confirmation(self, key: FlowKey, now_ms: int) -> None:
         flow = self._flows.get(key)
@@ -312,21 +283,6 @@
         self._queued.withdraw(flow)
         self._flows.remove(flow.key)
 
-    def _send_place(self, opening_packet: bytes, flow: BalancerFlow) -> None:
-        message = Place(
-            packet=opening_packet,
-            service=flow.service,
-            version=self._routes.table.version,
-        )
-        attempts = flow.attempts
-        if attempts is not None:
-            message = msgspec.structs.replace(
-                message,
-                waited_ms=max(self._clock.now_ms() - attempts.sent_ms, 0),
-                max_wait_ms=attempts.max_wait_ms,
-            )
-        self._network.send_to_node(flow.agent, message)
-
     def _event(self, name: str, key: FlowKey, **fields: object) -> None:
         self._counters.add(name)
         self._log.event(name, flow=flow_name(key), **fields)
