--- a/anvilthread/flows/agent_flow_table.py
+++ b/anvilthread/flows/agent_flow_table.py
@@ -63,12 +63,21 @@
         """Returns all flows."""
         return list(self._flows.items())
 
-    def add(self, key: FlowKey, balancer: str) -> AgentFlow:
-        """Adds a flow; replaces an earlier one with the same key."""
+    def add(
+        self, key: FlowKey, balancer: str, *, is_new: bool = True
+    ) -> AgentFlow:
+        """Adds a flow; replaces an earlier one with the same key.
+
+        Args:
+            key: The flow.
+            balancer: Host of the balancer that forwards it.
+            is_new: Whether its first request is yet to come.
+        """
         self.remove(key)
         flow = AgentFlow(balancer=balancer, now_ms=self._clock.now_ms())
         self._flows[key] = flow
-        self._awaited.touch(key)
+        if is_new:
+            self._awaited.add(key)
         return flow
 
     def recover(self, key: FlowKey, balancer: str, is_assumed: bool) -> None:
@@ -93,8 +102,8 @@
         flow.acknowledged = packet.acknowledged
         if packet.is_fin or packet.is_reset:
             flow.is_closing = True
+            self._awaited.discard(packet.key)
         if not packet.size or flow.requested_ms is not None:
-            self._await_request(packet.key, flow)
             return False
         flow.requested_ms = flow.last_packet_ms
         flow.requests += 1
@@ -116,7 +125,7 @@
         flow.target_packet_ms = flow.last_packet_ms
         if packet.is_fin or packet.is_reset:
             flow.is_closing = True
-        self._await_request(packet.key, flow)
+            self._awaited.discard(packet.key)
         requested_ms = flow.requested_ms
         if not packet.size or requested_ms is None:
             return None
@@ -149,10 +158,6 @@
                 self.remove(key)
         return unanswered
 
-    def _await_request(self, key: FlowKey, flow: AgentFlow) -> None:
-        if not flow.requests and key in self._flows:
-            self._awaited.touch(key)
-
     def _retention_ms(self, flow: AgentFlow) -> int:
         if flow.is_closing:
             return CLOSED_MS
--- a/anvilthread/flows/awaited_requests.py
+++ b/anvilthread/flows/awaited_requests.py
@@ -6,9 +6,10 @@
 from anvilthread.clock import Clock
 from anvilthread.flows.flow_key import FlowKey
 
-#: Time for which a new flow without a request counts as load: its first
-#: request follows within a round trip to the client.
-_FIRST_REQUEST_MS: Final = 40
+#: Time for which a new flow without a request counts as load. Its first request
+#: follows within a round trip to the client (10 ms), some ms later through a
+#: busy balancer. A flow that never sends one occupies a slot for this time.
+_FIRST_REQUEST_MS: Final = 25
 
 
 class AwaitedRequests:
@@ -18,29 +19,29 @@
         clock: Source of time.
     """
 
-    __slots__ = ('_clock', '_touched_ms')
+    __slots__ = ('_clock', '_opened_ms')
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
-        #: Time of the last packet of each flow, the oldest first.
-        self._touched_ms: OrderedDict[FlowKey, int] = OrderedDict()
+        #: Time at which each flow was opened, the oldest first.
+        self._opened_ms: OrderedDict[FlowKey, int] = OrderedDict()
 
     @property
     def count(self) -> int:
-        """Number of flows that have had a packet recently."""
+        """Number of flows that were opened recently."""
         oldest_ms = self._clock.now_ms() - _FIRST_REQUEST_MS
-        while self._touched_ms:
-            key = next(iter(self._touched_ms))
-            if self._touched_ms[key] > oldest_ms:
+        while self._opened_ms:
+            key = next(iter(self._opened_ms))
+            if self._opened_ms[key] > oldest_ms:
                 break
-            self._touched_ms.pop(key)
-        return len(self._touched_ms)
+            self._opened_ms.pop(key)
+        return len(self._opened_ms)
 
-    def touch(self, key: FlowKey) -> None:
-        """Records a packet of a flow without a request."""
-        self._touched_ms[key] = self._clock.now_ms()
-        self._touched_ms.move_to_end(key)
+    def add(self, key: FlowKey) -> None:
+        """Records the opening of a flow."""
+        self._opened_ms[key] = self._clock.now_ms()
+        self._opened_ms.move_to_end(key)
 
     def discard(self, key: FlowKey) -> None:
         """Forgets a flow that has carried a request or has ended."""
-        self._touched_ms.pop(key, None)
+        self._opened_ms.pop(key, None)
--- a/anvilthread/flows/flow_agent.py
+++ b/anvilthread/flows/flow_agent.py
@@ -185,9 +185,13 @@
                 return
             flow = self._flows.get(packet.key)
             if flow is None:
-                flow = self._flows.add(packet.key, host)
+                flow = self._flows.add(packet.key, host, is_new=False)
             flow.balancer = host
-            self._deliver(packet, flow)
+            if message.is_resent:
+                # An answered request would count as work until it times out.
+                self._network.send_to_target(packet.content)
+            else:
+                self._deliver(packet, flow)
         else:
             self._network.send_to_node(host, NotHeld(key=packet.key))
 
--- a/anvilthread/flows/flow_balancer.py
+++ b/anvilthread/flows/flow_balancer.py
@@ -210,7 +210,9 @@
         for flow in self._flows.of_agent(node.host):
             is_recent = flow.last_data_ms >= oldest_ms and flow.last_data
             if flow.is_confirmed and is_recent and not flow.is_closing:
-                message = Forward(packet=flow.last_data, service=flow.service)
+                message = Forward(
+                    packet=flow.last_data, service=flow.service, is_resent=True
+                )
                 self._network.send_to_node(node.host, message)
                 self._counters.add('packets_resent')
 
--- a/anvilthread/flows/flow_opener.py
+++ b/anvilthread/flows/flow_opener.py
@@ -221,7 +221,7 @@
             attempts.max_wait_ms = FIRST_MAX_WAIT_MS
             if chosen is None and attempts.shortest is not None:
                 attempts.max_wait_ms = ANY_WAIT
-                chosen = self._fleet.agent(attempts.shortest)
+                chosen = self._placement.take(attempts.shortest)
         if chosen is None:
             return False
         self._send_first(flow, chosen)
--- a/anvilthread/flows/flow_placement.py
+++ b/anvilthread/flows/flow_placement.py
@@ -94,6 +94,21 @@
             self._counters.add('flow_placed_evacuated')
         return chosen
 
+    def take(self, host: str) -> KnownNode | None:
+        """Counts a flow as sent to a given agent.
+
+        Args:
+            host: Host of the agent.
+
+        Returns:
+            The agent; None if it no longer accepts new flows.
+        """
+        node = self._roster.get(host)
+        if node is None or not self._allowed([node], ()):
+            return None
+        node.count_send()
+        return node
+
     @property
     def _evacuated_sites(self) -> frozenset[str]:
         evacuations = self._evacuations
--- a/anvilthread/flows/opening_admission.py
+++ b/anvilthread/flows/opening_admission.py
@@ -220,13 +220,13 @@
     def _repeat(self, host: str, packet: FlowPacket, flow: AgentFlow) -> None:
         """Sends the target a copy of a packet that it has received."""
         flow.balancer = host
-        if not self._gate.has_warmup_room:
-            self._counters.add('opening_copies_dropped')
-            return
-        self._delivery.send(packet.content)
         if self._is_ordered and flow.is_open:
             # The balancer checks a flow whose confirmation was lost.
             self._send_held(host, packet.key)
+        if self._gate.has_warmup_room:
+            self._delivery.send(packet.content)
+        else:
+            self._counters.add('opening_copies_dropped')
 
     def _event(self, name: str, key: FlowKey, **fields: object) -> None:
         self._counters.add(name)
--- a/anvilthread/flows/opening_gate.py
+++ b/anvilthread/flows/opening_gate.py
@@ -104,8 +104,8 @@
     @property
     def answer_ms(self) -> float:
         """Time from the delivery of a packet to the answer of its request."""
-        ahead = max(self._work.requests + 1, self._work.slots)
-        return self.run_ms * ahead / self._work.slots + _ROUND_TRIP_MS
+        ahead = max(self._work.requests + 1, self.slots)
+        return self.run_ms * ahead / self.slots + _ROUND_TRIP_MS
 
     @property
     def waiting(self) -> int:
@@ -114,24 +114,23 @@
 
     @property
     def slots(self) -> int:
-        """Requests that the target processes at a time."""
-        return self._work.slots
+        """Requests that the target processes at a time, within the limit."""
+        return min(self._work.slots, self.limit or self._work.slots)
 
     @property
     def requests_above_slots(self) -> int:
         """Requests at the target that it cannot process yet."""
-        return max(self._work.requests - self._work.slots, 0)
+        return max(self._work.requests - self.slots, 0)
 
     def expected_wait_ms(self, priority: int) -> int:
         """Returns how long a new packet of a priority waits for the target."""
         if self._work_limit is None:
             return 0
         ahead = self._queue.count_ahead(priority)
-        free = min(self._work.slots, self.limit)
-        if not ahead and self._work.requests < free:
+        if not ahead and self._work.requests < self.slots:
             return 0
         requests = self.requests_above_slots + ahead + 1
-        return round(self.run_ms * requests / self._work.slots)
+        return round(self.run_ms * requests / self.slots)
 
     def decide(
         self, opening: QueuedOpening, max_wait_ms: int
--- a/anvilthread/flows/packet_messages.py
+++ b/anvilthread/flows/packet_messages.py
@@ -24,10 +24,18 @@
 
 
 class Forward(Message, frozen=True, tag=2):
-    """A packet of a flow whose holder, to the sender, is the receiver."""
+    """A packet of a flow whose holder, to the sender, is the receiver.
+
+    Attributes:
+        packet: The packet as received from the client.
+        service: Service of the flow.
+        is_resent: Whether it was sent before, to an earlier process of the
+            receiver. Its request may have been answered.
+    """
 
     packet: bytes
     service: str
+    is_resent: bool = False
 
 
 class Refused(Message, frozen=True, tag=8):
--- a/anvilthread/flows/service_room.py
+++ b/anvilthread/flows/service_room.py
@@ -86,7 +86,7 @@
         for node in self._roster.agents(service):
             if not _is_usable(node, now_ms):
                 continue
-            wait = (node.wait.reported_ms, _age_ms(node, now_ms))
+            wait = (_remaining_wait_ms(node, now_ms), _age_ms(node, now_ms))
             if not wait[0]:
                 return wait
             shortest = wait if shortest is None else min(shortest, wait)
@@ -119,6 +119,12 @@
     return node.accepts and not node.is_failing and node.is_fresh(now_ms)
 
 
+def _remaining_wait_ms(node: KnownNode, now_ms: int) -> float:
+    """Returns the reported wait; 0 if it may have passed since the report."""
+    reported_ms = node.wait.reported_ms
+    return reported_ms if reported_ms > node.age_ms(now_ms) else 0
+
+
 def _age_ms(node: KnownNode, now_ms: int) -> int:
     """Returns the highest age that the report of a node reaches."""
     report = node.report
--- a/tests/flows/test_waiting_flows.py
+++ b/tests/flows/test_waiting_flows.py
@@ -572,3 +572,39 @@
     assert resets
     placed = [entry.fields['flow'] for entry in log.named('flow_placed')]
     assert all(placed.count(flow) <= 4 for flow in resets)
+
+
+def test_answered_requests_are_no_work_after_a_restart() -> None:
+    """Guards against targets that stay idle after their agents restart.
+
+    Balancers send the last packets of their flows again, since they do not
+    know which requests have been answered.
+    """
+    cluster = _cluster(agents=1, run_ms=10)
+    clients = _Clients(cluster)
+    for number in range(20):
+        clients.open(number)
+        clients.advance(30)
+    assert len(clients.answered_ms) == 20
+    node = cluster.add_agent(0)
+    cluster.advance(100)
+    assert cluster.balancers[0].counters.counts['packets_resent']
+    assert node.agent is not None
+    assert not node.agent.flows.meter.working
+    for number in range(20, 25):
+        clients.open(number)
+        clients.advance(30)
+    assert len(clients.answered_ms) == 25
+
+
+def test_aborted_flow_is_no_work() -> None:
+    """Guards against slots kept for clients that open flows and leave."""
+    cluster = _cluster(agents=1, run_ms=10)
+    cluster.open(_key(0))
+    cluster.advance(8)
+    node = cluster.agents[0]
+    assert node.agent is not None
+    assert node.agent.flows.awaiting_first_request == 1
+    cluster.send_packet(PlainPacket(key=_key(0), flags='R'))
+    cluster.advance(3)
+    assert not node.agent.flows.awaiting_first_request
