Estimate the wait of a new flow without the late packets that it overtakes

After a power loss, late attempts fill the queues of all agents. A new packet goes before them, but the expected wait counted them, so agents refused it as busy or without room, and balancers placed it by waits that it does not have.

test_late_packets_do_not_delay_new_ones fails before. The test of reports now uses a run time at which the waiting packets are still in time, and compares the same figures.

--- a/anvilthread/flows/opening_gate.py
+++ b/anvilthread/flows/opening_gate.py
@@ -122,11 +122,18 @@
         """Requests at the target that it cannot process yet."""
         return max(self._work.requests - self.slots, 0)
 
-    def expected_wait_ms(self, priority: int) -> int:
-        """Returns how long a new packet of a priority waits for the target."""
+    def expected_wait_ms(self, priority: int, *, is_late: bool = False) -> int:
+        """Returns how long a packet of a priority waits for the target.
+
+        Args:
+            priority: Priority of the packet.
+            is_late: Whether it misses its objective, as no new packet does.
+        """
         if self._work_limit is None:
             return 0
-        ahead = self._queue.count_ahead(priority)
+        ahead = self._queue.count_ahead(
+            priority, self.answer_ms, is_late=is_late
+        )
         if not ahead and self._work.requests < self.slots:
             return 0
         requests = self.requests_above_slots + ahead + 1
@@ -146,12 +153,15 @@
             return _REFUSE_COLD
         if self.has_work_room:
             return _DELIVER
-        wait_ms = self.expected_wait_ms(opening.priority)
+        now_ms = self._clock.now_ms()
+        wait_ms = self.expected_wait_ms(
+            opening.priority, is_late=opening.is_late(now_ms, self.answer_ms)
+        )
         if 0 <= max_wait_ms < wait_ms:
             return OpeningDecision(
                 action=OpeningAction.REFUSE, reason='busy', wait_ms=wait_ms
             )
-        age_ms = self._clock.now_ms() - opening.sent_ms
+        age_ms = now_ms - opening.sent_ms
         has_room = self._queue.has_room_for(opening.key, opening.priority)
         if not has_room or age_ms + wait_ms > ABANDONED_MS:
             return OpeningDecision(
--- a/anvilthread/flows/opening_queue.py
+++ b/anvilthread/flows/opening_queue.py
@@ -64,12 +64,32 @@
         if held >= MAX_WAITING * _MAX_CLIENT_SHARE:
             return False
         count = len(self._waiting)
-        return count < MAX_WAITING or self.count_ahead(priority) < count
+        return count < MAX_WAITING or self.count_up_to(priority) < count
 
-    def count_ahead(self, priority: int) -> int:
+    def count_up_to(self, priority: int) -> int:
         """Number of waiting packets of the same or a higher priority."""
         return sum(self._by_priority[: priority + 1])
 
+    def count_ahead(
+        self, priority: int, answer_ms: float, *, is_late: bool = False
+    ) -> int:
+        """Number of waiting packets that are delivered before another one.
+
+        Late packets are delivered after those that are in time, so a backlog
+        of them does not delay a new packet.
+
+        Args:
+            priority: Priority of the other packet.
+            answer_ms: Time from a delivery to the answer of its request.
+            is_late: Whether the other packet misses its objective.
+        """
+        rank = (is_late, priority)
+        now_ms = self._clock.now_ms()
+        return sum(
+            (opening.is_late(now_ms, answer_ms), opening.priority) <= rank
+            for opening in self._waiting.values()
+        )
+
     def add(self, opening: QueuedOpening) -> None:
         """Adds a packet; replaces an earlier one of the same flow."""
         self.discard(opening.key)
